--- /dev/null
+++ b/components/balancer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Homes of services and the choice of backend servers.
--- /dev/null
+++ b/components/detector/src/lib.rs
@@ -0,0 +1,1 @@
+//! Detection of gray backend servers from real requests.
--- /dev/null
+++ b/components/limiter/src/lib.rs
@@ -0,0 +1,1 @@
+//! Token buckets and grants over all VMs.
--- /dev/null
+++ b/components/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Failure detector of the VMs of the fleet.
--- /dev/null
+++ b/components/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! Starts every part of the daemon and stops it.
--- /dev/null
+++ b/components/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operators interface: protobuf schema, gRPC service and client.
--- /dev/null
+++ b/components/peers/src/lib.rs
@@ -0,0 +1,1 @@
+//! Versioned messages between VMs.
--- /dev/null
+++ b/components/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Adapters to the platform's table, object store and list of VMs.
--- /dev/null
+++ b/components/proxy/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP from callers and to backend servers.
--- /dev/null
+++ b/components/queue/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fair and deadline-aware queue of one service.
--- /dev/null
+++ b/components/retry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Retry budget, hedging, idempotency keys and the crash guard.
--- /dev/null
+++ b/components/rights/src/lib.rs
@@ -0,0 +1,1 @@
+//! The share ledger: rights in bounded units, fenced by the table.
--- /dev/null
+++ b/components/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! JSON settings, checked in one pass.
--- /dev/null
+++ b/components/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Numbered events, logs, traces and metrics.
--- /dev/null
+++ b/src/bin/papayareeld.rs
@@ -0,0 +1,3 @@
+//! The daemon.
+
+fn main() {}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! Operators command line.
+
+fn main() {}
--- /dev/null
+++ b/tools/demo/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder entry point.
+
+fn main() {}
--- /dev/null
+++ b/tools/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and for backend servers; not shipped.
