--- a/components/kernel/src/limiter.rs
+++ b/components/kernel/src/limiter.rs
@@ -36,10 +36,10 @@
         organisation: OrganisationId,
         /// Number of the grant asked for.
         grant: GrantId,
-        /// Tokens wanted.
-        tokens: u32,
+        /// Tokens wanted; may be a fraction, since a holder of few units may never own a whole one.
+        tokens: f64,
         /// Earlier grants that are spent or given back, with the tokens given back.
-        settled: Vec<(GrantId, u32)>,
+        settled: Vec<(GrantId, f64)>,
     },
     /// Answers an `Ask`; the tokens were debited before this message was sent.
     Grant {
@@ -47,8 +47,8 @@
         organisation: OrganisationId,
         /// Number of the grant.
         grant: GrantId,
-        /// Tokens granted; may be zero.
-        tokens: u32,
+        /// Tokens granted; may be zero or a fraction.
+        tokens: f64,
         /// Time until the holder expects to have tokens again, if it granted fewer than asked.
         retry: Duration,
     },
@@ -68,6 +68,8 @@
     Claim {
         /// Organisation.
         organisation: OrganisationId,
+        /// Units wanted.
+        units: u32,
     },
 }
 
