Make the experiments tool a library with a thin program

Cause: parts of a program that nothing calls yet are dead code to the linter.

Change: figures and experiments are public modules of a library.

--- a/tools/measure/src/experiments/mod.rs
+++ b/tools/measure/src/experiments/mod.rs
@@ -1,3 +1,5 @@
+//! One file for each experiment.
+
 use crate::Options;
 use crate::figure::Figure;
 
--- a/tools/measure/src/figure.rs
+++ b/tools/measure/src/figure.rs
@@ -1,3 +1,5 @@
+//! Figures and how they are printed.
+
 use serde_json::json;
 
 /// Side of the target on which a figure must lie.
--- /dev/null
+++ b/tools/measure/src/lib.rs
@@ -0,0 +1,12 @@
+//! Experiments in virtual time against small fakes.
+
+pub mod experiments;
+pub mod figure;
+
+/// Seeds of an experiment.
+pub struct Options {
+    /// First seed.
+    pub seed: u64,
+    /// Number of runs, each with its own seed.
+    pub runs: u64,
+}
--- a/tools/measure/src/main.rs
+++ b/tools/measure/src/main.rs
@@ -1,13 +1,12 @@
 //! Runs one experiment and prints its figures; not shipped.
 
-mod experiments;
-mod figure;
-
 use std::process::ExitCode;
 
 use argh::FromArgs;
 
-use crate::figure::{Figure, print_json, print_table};
+use measure::Options;
+use measure::experiments;
+use measure::figure::{Figure, print_json, print_table};
 
 /// Runs one experiment of the decision code and prints its figures beside their targets.
 #[derive(FromArgs)]
@@ -29,14 +28,6 @@
     json: bool,
 }
 
-/// Seeds of an experiment.
-pub struct Options {
-    /// First seed.
-    pub seed: u64,
-    /// Number of runs.
-    pub runs: u64,
-}
-
 fn run(args: &Args) -> anyhow::Result<Vec<Figure>> {
     let options = Options { seed: args.seed, runs: args.runs };
     let experiment = experiments::ALL.iter().find(|e| e.name == args.experiment);
