--- /dev/null
+++ b/components/retry/src/answer.rs
@@ -0,0 +1,26 @@
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode};
+
+/// Largest body that is kept for replay, in bytes.
+pub const MAX_ANSWER_BYTES: usize = 64 * 1024;
+
+/// A whole response that a repeated key is given again.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// End-to-end headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// Memory that the answer takes, in bytes.
+    pub fn size(&self) -> usize {
+        // 64 bytes for each header cover the map's own entries.
+        let header = |(n, v): (&http::HeaderName, &http::HeaderValue)| n.as_str().len() + v.len();
+        let headers: usize = self.headers.iter().map(|h| header(h) + 64).sum();
+        headers + self.body.len()
+    }
+}
