Add the adapters to the platform

The daemon reaches the platform over HTTP/1.1 and tests need the same semantics in memory. The platform in memory has switches for an outage, lost replies, delay and a lagging list, and counts reads and writes.

--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -1,1 +1,7 @@
 //! Adapters to the platform's table, object store and list of VMs.
+
+mod http_platform;
+mod memory;
+
+pub use http_platform::HttpPlatform;
+pub use memory::{MemoryCounts, MemoryPlatform, MemorySwitches};
--- /dev/null
+++ b/components/platform/tests/memory.rs
@@ -0,0 +1,90 @@
+//! Tests of the platform in memory.
+
+use std::time::Duration;
+
+use kernel::{Place, PlatformError, Transaction, VmEntry, VmState};
+use platform::MemoryPlatform;
+
+fn write(key: &str, version: u64, value: &str) -> Transaction {
+    Transaction {
+        checks: vec![(key.into(), version)],
+        puts: vec![(key.into(), value.into())],
+        deletes: Vec::new(),
+    }
+}
+
+/// Guards against a compare-and-swap that passes on a changed or re-created row.
+#[tokio::test]
+async fn checks_fail_on_changed_rows() {
+    let memory = MemoryPlatform::new();
+    let table = memory.open().table;
+    let first = table.commit(&write("a", 0, "1")).await.expect("new row");
+    let second = table.commit(&write("a", first, "2")).await.expect("known version");
+    let conflict = Err(PlatformError::Conflict { key: "a".into() });
+    assert_eq!(table.commit(&write("a", first, "3")).await, conflict);
+    let delete = Transaction { deletes: vec!["a".into()], ..write("b", 0, "x") };
+    table.commit(&delete).await.expect("delete");
+    let third = table.commit(&write("a", 0, "4")).await.expect("new row");
+    assert!(third > second, "a new row must not reuse a version");
+    assert_eq!(memory.counts().writes, 6);
+}
+
+/// Guards against scans that skip or repeat rows between pages.
+#[tokio::test]
+async fn scans_page_in_order() {
+    let table = MemoryPlatform::new().open().table;
+    for key in ["a/1", "b/1", "b/2", "b/3", "c/1"] {
+        table.commit(&write(key, 0, "")).await.expect("new row");
+    }
+    let mut seen = Vec::new();
+    let mut after = String::new();
+    loop {
+        let rows = table.scan("b/", &after, 2).await.expect("rows");
+        let Some(last) = rows.last() else { break };
+        after = last.key.to_string();
+        seen.extend(rows.into_iter().map(|row| row.key.to_string()));
+    }
+    assert_eq!(seen, ["b/1", "b/2", "b/3"]);
+}
+
+/// Guards against a lost reply that also loses the write, and an outage that lets writes through.
+#[tokio::test]
+async fn switches_make_the_faults() {
+    let memory = MemoryPlatform::new();
+    let table = memory.open().table;
+    memory.switch(|switches| switches.replies_lost = 1);
+    let reply = table.commit(&write("a", 0, "1")).await;
+    assert!(matches!(reply, Err(PlatformError::ReplyLost(_))), "{reply:?}");
+    assert!(table.read("a").await.expect("row").is_some());
+    memory.switch(|switches| switches.away = true);
+    let reply = table.commit(&write("b", 0, "1")).await;
+    assert!(matches!(reply, Err(PlatformError::Unreachable(_))), "{reply:?}");
+    memory.switch(|switches| switches.away = false);
+    assert!(table.read("b").await.expect("no row").is_none());
+}
+
+/// Guards against a list of VMs that shows changes before its lag has passed.
+#[tokio::test(start_paused = true)]
+async fn list_of_vms_lags() {
+    let memory = MemoryPlatform::new();
+    let vms = memory.open().vms;
+    memory.switch(|switches| switches.list_lag = Duration::from_secs(60));
+    let address = ([127, 0, 0, 1], 1).into();
+    let entry = VmEntry {
+        vm: "vm-1".into(),
+        incarnation: 1,
+        place: Place { region: "r".into(), domain: "d".into() },
+        callers: address,
+        peers: address,
+        state: VmState::Live,
+    };
+    vms.announce(&entry).await.expect("announced");
+    tokio::time::advance(Duration::from_secs(59)).await;
+    assert_eq!(vms.list().await, Ok(vec![]));
+    tokio::time::advance(Duration::from_secs(1)).await;
+    assert_eq!(vms.list().await, Ok(vec![entry]));
+    memory.remove_vm("vm-1");
+    assert_eq!(vms.list().await.map(|list| list.len()), Ok(1));
+    tokio::time::advance(Duration::from_secs(60)).await;
+    assert_eq!(vms.list().await, Ok(vec![]));
+}
