--- a/components/config/tests/apply.rs
+++ b/components/config/tests/suite/apply.rs
@@ -1,8 +1,6 @@
 //! Change sets: validation, conflicts and the life of keys.
 
-mod common;
-
-use common::{example, organisation, route, service, set};
+use crate::common::{example, organisation, route, service, set};
 use config::{Access, Change, ChangeError, FaultKind, Lookup, apply, digest_key, replay};
 use kernel::RefusalKind;
 
