Add the request path: callers, homes, backend servers and forwarding

Change: checks of a caller's request, a home per service with queue and slots, attempts on pooled connections, retries and hedges, forwarding with a proof that VMs share a secret, and an executor that runs a request at most once for each idempotency key. A refusal after an attempt that may have run never says not-run.

--- a/components/kernel/src/refusal.rs
+++ b/components/kernel/src/refusal.rs
@@ -140,6 +140,12 @@
         Refusal { kind, outcome: Outcome::Unknown, message: message.into(), retry: None }
     }
 
+    /// The same refusal for a request of which an earlier attempt may have run.
+    pub fn possibly_run(mut self) -> Self {
+        self.outcome = Outcome::Unknown;
+        self
+    }
+
     /// Adds the time after which a retry can succeed.
     pub fn retry_after(mut self, retry: Duration) -> Self {
         self.retry = Some(retry);
--- /dev/null
+++ b/components/proxy/src/engine.rs
@@ -0,0 +1,328 @@
+use std::collections::HashMap;
+use std::sync::{Arc, PoisonError, RwLock};
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response};
+use kernel::prelude::*;
+use kernel::{Admission, VmEntry};
+use retry::{AnswerLimits, AnswerTable, IdempotencyKey};
+
+use crate::answer::{outcome, refuse};
+use crate::attempt::Sent;
+use crate::body::{Body, collect};
+use crate::call::Call;
+use crate::entry;
+use crate::executor::{Executor, Routed};
+use crate::fleet::{Fleet, RequestRecord};
+use crate::forward::{Forwarder, MAX_HOPS};
+use crate::headers::{ENTRY_PATH, REQUEST_ID_HEADER};
+use crate::home::Home;
+
+/// Settings of the request path.
+#[derive(Clone, Debug)]
+pub struct EngineOptions {
+    /// Secret that VMs prove themselves with.
+    pub secret: Box<[u8]>,
+    /// Most bytes of a request's body.
+    pub body_bytes: usize,
+    /// Longest wait for a request's body on a route without a longer deadline.
+    pub body_timeout: Duration,
+    /// Time for which callers may keep an entry response.
+    pub entry_ttl: Duration,
+    /// Addresses in an entry response.
+    pub entry_count: usize,
+}
+
+/// The request path of one VM.
+pub struct Engine {
+    fleet: Arc<dyn Fleet>,
+    options: EngineOptions,
+    forwarder: Forwarder,
+    executor: Executor,
+    homes: RwLock<HashMap<ServiceId, Arc<Home>>>,
+}
+
+impl Engine {
+    /// An engine without homes.
+    pub fn new(fleet: Arc<dyn Fleet>, options: EngineOptions) -> Arc<Self> {
+        let table = AnswerTable::new(fleet.me().incarnation, AnswerLimits::default());
+        Arc::new(Engine {
+            forwarder: Forwarder::new(options.secret.clone()),
+            executor: Executor::new(table),
+            homes: RwLock::default(),
+            fleet,
+            options,
+        })
+    }
+
+    pub(crate) fn fleet(&self) -> &Arc<dyn Fleet> {
+        &self.fleet
+    }
+
+    pub(crate) fn executor(&self) -> &Executor {
+        &self.executor
+    }
+
+    /// Homes that are open on this VM.
+    pub fn homes(&self) -> Vec<(ServiceId, Arc<Home>)> {
+        let homes = self.homes.read().unwrap_or_else(PoisonError::into_inner);
+        homes.iter().map(|(id, home)| (id.clone(), Arc::clone(home))).collect()
+    }
+
+    /// Takes over the backend servers of the configuration in force.
+    pub fn refresh(&self) {
+        let lookup = self.fleet.lookup();
+        self.homes
+            .write()
+            .unwrap_or_else(PoisonError::into_inner)
+            .retain(|id, _| lookup.config.services.contains_key(id));
+        for (id, home) in self.homes() {
+            if let Some(service) = lookup.config.services.get(&id) {
+                home.set_backends(&self.local_backends(&service.backends));
+            }
+        }
+    }
+
+    /// Backend servers that this VM schedules as a home: those of its region.
+    fn local_backends(&self, all: &[BackendSpec]) -> Vec<BackendSpec> {
+        let region = &self.fleet.me().place.region;
+        all.iter().filter(|b| b.place.region == *region).cloned().collect()
+    }
+
+    pub(crate) fn home(&self, id: &str) -> Result<Arc<Home>, Refusal> {
+        let open = self.homes.read().unwrap_or_else(PoisonError::into_inner).get(id).cloned();
+        if let Some(home) = open {
+            return Ok(home);
+        }
+        let lookup = self.fleet.lookup();
+        let service = lookup.config.services.get(id).ok_or_else(|| {
+            let message = format!("service {id:?} does not exist; check the configuration");
+            Refusal::not_run(RefusalKind::RouteUnknown, message)
+        })?;
+        let options = self.fleet.open_home(id)?;
+        let home = Home::new(id.into(), Arc::clone(&self.fleet), options);
+        home.set_backends(&self.local_backends(&service.backends));
+        let mut homes = self.homes.write().unwrap_or_else(PoisonError::into_inner);
+        Ok(Arc::clone(homes.entry(id.into()).or_insert(home)))
+    }
+
+    /// Answers one request of a caller or of another VM.
+    pub async fn handle<B>(self: &Arc<Self>, request: Request<B>) -> Response<Body>
+    where
+        B: http_body::Body<Data = Bytes> + Send + 'static,
+        B::Error: std::fmt::Display,
+    {
+        let id: Box<str> = format!("{:016x}", self.fleet.random()).into();
+        let mut record = RequestRecord {
+            service: ServiceId::default(),
+            organisation: OrganisationId::default(),
+            refusal: None,
+            forwarded: Forwarder::is_forwarded(request.headers()),
+            took: Duration::ZERO,
+        };
+        let start = self.fleet.now();
+        let result = self.answer(request, &id, &mut record).await;
+        record.took = self.fleet.now().saturating_sub(start);
+        let mut response = match result {
+            Ok(response) => response,
+            Err(refusal) => {
+                record.refusal = Some(refusal.kind);
+                refuse(&refusal)
+            }
+        };
+        if let Ok(value) = HeaderValue::from_str(&id) {
+            response.headers_mut().entry(REQUEST_ID_HEADER).or_insert(value);
+        }
+        self.fleet.record(&record);
+        response
+    }
+
+    async fn answer<B>(
+        self: &Arc<Self>,
+        request: Request<B>,
+        id: &str,
+        record: &mut RequestRecord,
+    ) -> Result<Response<Body>, Refusal>
+    where
+        B: http_body::Body<Data = Bytes> + Send + 'static,
+        B::Error: std::fmt::Display,
+    {
+        let (head, body) = request.into_parts();
+        if head.uri.path() == ENTRY_PATH {
+            let options = &self.options;
+            return entry::answer(&*self.fleet, &head.uri, options.entry_ttl, options.entry_count);
+        }
+        let limit = self.options.body_bytes;
+        if record.forwarded {
+            let body = collect(body, limit, self.options.body_timeout).await?;
+            let now = self.fleet.now();
+            let call = self.forwarder.accept(&head, body, &self.fleet.lookup(), now)?;
+            record.service = call.service.clone();
+            record.organisation = call.organisation.clone();
+            return self.route(call).await;
+        }
+        let now = self.fleet.now();
+        let mut call = Call::check(&head, &self.fleet.lookup(), now, id.into())?;
+        record.service = call.service.clone();
+        record.organisation = call.organisation.clone();
+        if call.key.is_some() {
+            self.fleet.check_fresh()?;
+        }
+        call.body = collect(body, limit, call.left(now)?).await?;
+        self.route(call).await
+    }
+
+    /// Runs the request where it may run.
+    async fn route(self: &Arc<Self>, call: Call) -> Result<Response<Body>, Refusal> {
+        if call.idempotent || call.cleared {
+            return self.schedule(call).await;
+        }
+        let caller_made = matches!(
+            IdempotencyKey::try_from(call.idempotency.as_deref().unwrap_or_default()),
+            Ok(IdempotencyKey::CallerMade(_))
+        );
+        // The home claims a caller-made key, so that resends through other VMs meet its table.
+        if caller_made
+            && call.hops == 0
+            && let Some(home) = self.other_home(&call)
+        {
+            match self.forwarder.send(&call, home.callers, self.fleet.now()).await {
+                Ok(response) => return Ok(response),
+                Err(failure) if failure.sent == Sent::Maybe => return Err(failure.refusal),
+                // This VM may claim the key as well.
+                Err(_) => {}
+            }
+        }
+        match self.executor.run(self, call.clone()).await? {
+            Routed::Answered(response) => Ok(response),
+            Routed::Elsewhere(incarnation) => self.hand_on(call, incarnation).await,
+        }
+    }
+
+    /// Hands a request to the only VM that may run it.
+    async fn hand_on(&self, call: Call, to: Incarnation) -> Result<Response<Body>, Refusal> {
+        let lost = || {
+            Refusal::unknown(
+                RefusalKind::AnswerLost,
+                "the VM that the idempotency key names cannot be reached; if the request was \
+                 never sent before, send it with a prefix of a new entry response",
+            )
+        };
+        if call.hops >= MAX_HOPS {
+            return Err(lost());
+        }
+        let vm = self.fleet.vm(to).ok_or_else(lost)?;
+        self.forwarder.send(&call, vm.callers, self.fleet.now()).await.map_err(|failure| {
+            // An earlier request with the key may have run, so that this one is unknown too.
+            if failure.sent == Sent::Maybe { failure.refusal } else { lost() }
+        })
+    }
+
+    /// Runs a request that this VM alone may run.
+    pub(crate) async fn run_cleared(
+        self: &Arc<Self>,
+        mut call: Call,
+    ) -> Result<Response<Body>, Refusal> {
+        call.cleared = true;
+        self.schedule(call).await
+    }
+
+    fn other_home(&self, call: &Call) -> Option<VmEntry> {
+        let me = self.fleet.me();
+        let home = self.fleet.homes(&call.service, &me.place.region).into_iter().next()?;
+        (home.incarnation != me.incarnation).then_some(home)
+    }
+
+    /// Runs the request at the home of its service, here or on another VM.
+    async fn schedule(self: &Arc<Self>, call: Call) -> Result<Response<Body>, Refusal> {
+        // A forwarded request is not forwarded again to a VM of the same region, so that two VMs
+        // that disagree on the home do not pass it back and forth.
+        let first = call.hops == 0 || (call.cleared && call.hops < MAX_HOPS);
+        if first && let Some(home) = self.other_home(&call) {
+            match self.forwarder.send(&call, home.callers, self.fleet.now()).await {
+                Ok(response) => return Ok(response),
+                Err(failure) if failure.sent == Sent::Maybe && !call.idempotent => {
+                    return Err(failure.refusal);
+                }
+                // It may run again, but no later refusal may say that it was not run.
+                Err(failure) if failure.sent == Sent::Maybe => {
+                    return doubt(self.run_here(call).await);
+                }
+                // The home did not get it: this VM schedules it.
+                Err(_) => {}
+            }
+        }
+        self.run_here(call).await
+    }
+
+    async fn run_here(self: &Arc<Self>, mut call: Call) -> Result<Response<Body>, Refusal> {
+        if !call.admitted {
+            self.admit(&call).await?;
+            call.admitted = true;
+        }
+        let home = self.home(&call.service)?;
+        if call.hops < MAX_HOPS
+            && let Some(region) = self.spill_region(&home, &call)
+            && let Some(vm) = self.fleet.homes(&call.service, &region).into_iter().next()
+        {
+            match self.forwarder.send(&call, vm.callers, self.fleet.now()).await {
+                Ok(response) if outcome(response.headers()) != Some(Outcome::NotRun) => {
+                    self.fleet.count_link(call.body.len());
+                    return Ok(response);
+                }
+                Err(failure) if failure.sent == Sent::Maybe && !call.idempotent => {
+                    return Err(failure.refusal);
+                }
+                Err(failure) if failure.sent == Sent::Maybe => return doubt(home.run(&call).await),
+                // The other region did not run it; this one still may.
+                _ => {}
+            }
+        }
+        home.run(&call).await
+    }
+
+    /// Region to send the request to, if this region's backend servers can take no work.
+    fn spill_region(&self, home: &Home, call: &Call) -> Option<RegionId> {
+        let (usable, _, _) = home.load();
+        if usable > 0 {
+            return None;
+        }
+        self.fleet.spill(&call.service, call.weight, call.body.len()).into_iter().next()
+    }
+
+    /// Waits for a token of the organisation's rate.
+    async fn admit(&self, call: &Call) -> Result<(), Refusal> {
+        if call.organisation.is_empty() {
+            return Ok(());
+        }
+        loop {
+            let left = call.left(self.fleet.now())?;
+            match self.fleet.admit(&call.organisation) {
+                Admission::Admitted => return Ok(()),
+                Admission::Wait(wait) if wait < left => {
+                    tokio::time::sleep(wait.max(Duration::from_millis(1))).await;
+                }
+                Admission::Wait(retry) | Admission::Refused(retry) => {
+                    let message = format!(
+                        "the organisation is above its rate; retry in {} ms",
+                        retry.as_millis()
+                    );
+                    let refusal = Refusal::not_run(RefusalKind::RateExceeded, message);
+                    return Err(refusal.retry_after(retry));
+                }
+            }
+        }
+    }
+}
+
+/// Takes back `not-run` from the answer to a request of which an earlier attempt may have run.
+fn doubt(result: Result<Response<Body>, Refusal>) -> Result<Response<Body>, Refusal> {
+    match result {
+        Ok(response) if outcome(response.headers()) == Some(Outcome::NotRun) => {
+            let message = "the request may have run, and no further attempt was possible; retry";
+            Err(Refusal::unknown(RefusalKind::PeerUnreachable, message))
+        }
+        Ok(response) => Ok(response),
+        Err(refusal) => Err(refusal.possibly_run()),
+    }
+}
--- /dev/null
+++ b/components/proxy/src/fleet.rs
@@ -0,0 +1,86 @@
+use std::sync::Arc;
+
+use config::Lookup;
+use futures::future::BoxFuture;
+use kernel::prelude::*;
+use kernel::{Admission, EjectReason, VmEntry};
+use retry::Claimed;
+
+use crate::home::HomeOptions;
+
+/// What is recorded of a finished request. It names no key.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RequestRecord {
+    /// Service, if a route matched.
+    pub service: ServiceId,
+    /// Organisation; empty on open routes.
+    pub organisation: OrganisationId,
+    /// Refusal kind; none if a backend server answered.
+    pub refusal: Option<RefusalKind>,
+    /// Whether another VM forwarded it.
+    pub forwarded: bool,
+    /// Time from the head of the request to the head of the response.
+    pub took: Duration,
+}
+
+/// What the request path needs to know of the rest of the VM.
+pub trait Fleet: Send + Sync {
+    /// Time since the start of the process.
+    fn now(&self) -> Uptime;
+
+    /// This VM.
+    fn me(&self) -> &VmEntry;
+
+    /// The configuration in force on this VM.
+    fn lookup(&self) -> Arc<Lookup>;
+
+    /// VMs that may be home of the service in a region, best first.
+    fn homes(&self, service: &str, region: &str) -> Vec<VmEntry>;
+
+    /// Regions other than the own one whose homes can take work of the service now, best first.
+    fn spill(&self, service: &str, weight: f64, bytes: usize) -> Vec<RegionId>;
+
+    /// Counts bytes that crossed the link between regions.
+    fn count_link(&self, bytes: usize);
+
+    /// The VM with this incarnation, if it is believed alive.
+    fn vm(&self, incarnation: Incarnation) -> Option<VmEntry>;
+
+    /// Uptime of a VM as last heard of, for idempotency prefixes.
+    fn uptime_of(&self, incarnation: Incarnation) -> Option<Uptime>;
+
+    /// Refuses if this VM cannot tell whether its configuration is the newest.
+    fn check_fresh(&self) -> Result<(), Refusal>;
+
+    /// Whether this VM has begun to stop.
+    fn stopping(&self) -> bool;
+
+    /// Asks the limiter to admit one request.
+    fn admit(&self, organisation: &str) -> Admission;
+
+    /// Claims a caller-made idempotency key in the table for this attempt.
+    fn claim<'a>(
+        &'a self,
+        organisation: &'a str,
+        key: &'a str,
+        attempt: u64,
+    ) -> BoxFuture<'a, Claimed>;
+
+    /// Builds the decisions of a service for this VM as its home.
+    fn open_home(&self, service: &str) -> Result<HomeOptions, Refusal>;
+
+    /// A random number from the VM's generator.
+    fn random(&self) -> u64;
+
+    /// Records a finished request.
+    fn record(&self, record: &RequestRecord);
+
+    /// Records that a backend server was suspected.
+    fn suspected(&self, service: &str, backend: &str, reason: EjectReason, after: Duration);
+
+    /// Records that a backend server was ejected.
+    fn ejected(&self, service: &str, backend: &str, reason: EjectReason, after: Duration);
+
+    /// Records that a backend server takes work again.
+    fn restored(&self, service: &str, backend: &str, falsely: bool);
+}
--- /dev/null
+++ b/components/proxy/src/forward.rs
@@ -0,0 +1,227 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use bytes::Bytes;
+use config::{KeyDigest, Lookup};
+use hmac::{Hmac, Mac};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, header, request};
+use http_body_util::{BodyExt, Full};
+use kernel::prelude::*;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::attempt::{Failure, Sent};
+use crate::body::Body;
+use crate::call::{Call, pass_on};
+use crate::framing::{Watch, Watched, is_framed};
+use crate::headers::{FORWARD_HEADER, OUTCOME_HEADER, PROOF_HEADER, REQUEST_ID_HEADER};
+use crate::pool::{Connection, Pool};
+
+/// Most VMs that may forward one request. The last one runs it.
+pub const MAX_HOPS: u8 = 2;
+/// A forwarded request uses only a connection that carried a response this lately; between VMs a
+/// new connection costs less than a request on a silent one.
+const IDLE_FORWARD: Duration = Duration::from_secs(5);
+/// As above, for a request that may run once.
+const IDLE_FORWARD_ONCE: Duration = Duration::from_secs(1);
+
+/// What a VM tells the next about a request. It holds the digest of the key, not the key.
+#[derive(Debug, Serialize, Deserialize)]
+struct ForwardHead {
+    id: Box<str>,
+    organisation: OrganisationId,
+    key: Option<KeyDigest>,
+    route: RouteId,
+    left_ms: u64,
+    hops: u8,
+    admitted: bool,
+    cleared: bool,
+}
+
+/// Forwards requests to other VMs and checks those that other VMs forward.
+pub struct Forwarder {
+    secret: Box<[u8]>,
+    pools: Mutex<HashMap<SocketAddr, Arc<Pool>>>,
+}
+
+impl Forwarder {
+    /// A forwarder that proves itself with the fleet secret.
+    pub fn new(secret: impl Into<Box<[u8]>>) -> Self {
+        Forwarder { secret: secret.into(), pools: Mutex::default() }
+    }
+
+    fn mac(&self, head: &str, method: &Method, target: &str, body: &Bytes) -> Option<Hmac<Sha256>> {
+        let mut mac = Hmac::<Sha256>::new_from_slice(&self.secret).ok()?;
+        mac.update(head.as_bytes());
+        mac.update(b"\n");
+        mac.update(method.as_str().as_bytes());
+        mac.update(b"\n");
+        mac.update(target.as_bytes());
+        mac.update(b"\n");
+        mac.update(&Sha256::digest(body));
+        Some(mac)
+    }
+
+    /// Whether the head says that another VM forwards the request.
+    pub fn is_forwarded(headers: &HeaderMap) -> bool {
+        headers.contains_key(FORWARD_HEADER)
+    }
+
+    /// Checks a forwarded request; nothing in it is trusted without the proof.
+    pub fn accept(
+        &self,
+        head: &request::Parts,
+        body: Bytes,
+        lookup: &Lookup,
+        now: Uptime,
+    ) -> Result<Call, Refusal> {
+        let bad = |what: &str| {
+            let text = format!("the forward header {what}; check that all VMs have one secret");
+            Refusal::not_run(RefusalKind::BadRequest, text)
+        };
+        let text = |name| head.headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
+        let sent = text(FORWARD_HEADER).ok_or_else(|| bad("cannot be read"))?;
+        let proof = text(PROOF_HEADER).and_then(read_hex).ok_or_else(|| bad("has no proof"))?;
+        let target = head.uri.path_and_query().map_or("/", |t| t.as_str());
+        self.mac(sent, &head.method, target, &body)
+            .and_then(|mac| mac.verify_slice(&proof).ok())
+            .ok_or_else(|| bad("has a wrong proof"))?;
+        let sent: ForwardHead = serde_json::from_str(sent).map_err(|_| bad("has a wrong form"))?;
+        let route = lookup.config.routes.get(&sent.route).ok_or_else(|| {
+            let text = format!("route {:?} does not exist on this VM; retry", sent.route);
+            Refusal::not_run(RefusalKind::RouteUnknown, text)
+        })?;
+        let idempotency = head.headers.get(crate::headers::IDEMPOTENCY_HEADER);
+        let organisation = lookup.config.organisations.get(&sent.organisation);
+        let call = Call {
+            id: sent.id,
+            share: organisation.map_or(1.0, |o| o.weight),
+            organisation: sent.organisation,
+            key: sent.key,
+            route: sent.route,
+            service: route.service.clone(),
+            idempotent: route.idempotent,
+            weight: route.weight,
+            deadline: now + Duration::from_millis(sent.left_ms),
+            idempotency: idempotency.and_then(|v| v.to_str().ok()).map(Into::into),
+            hops: sent.hops,
+            admitted: sent.admitted,
+            cleared: sent.cleared,
+            method: head.method.clone(),
+            target: target.into(),
+            headers: pass_on(&head.headers),
+            body,
+        };
+        call.recheck(lookup)?;
+        Ok(call)
+    }
+
+    fn build(&self, call: &Call, left: Duration) -> Option<Request<Full<Bytes>>> {
+        let head = serde_json::to_string(&ForwardHead {
+            id: call.id.clone(),
+            organisation: call.organisation.clone(),
+            key: call.key,
+            route: call.route.clone(),
+            left_ms: left.as_millis() as u64,
+            hops: call.hops + 1,
+            admitted: call.admitted,
+            cleared: call.cleared,
+        })
+        .ok()?;
+        let mac = self.mac(&head, &call.method, &call.target, &call.body)?;
+        let proof: String =
+            mac.finalize().into_bytes().iter().map(|b| format!("{b:02x}")).collect();
+        let mut request = Request::new(Full::new(call.body.clone()));
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = call.target.parse().ok()?;
+        *request.headers_mut() = call.headers.clone();
+        let headers = request.headers_mut();
+        headers.insert(header::HOST, HeaderValue::from_static("fleet"));
+        headers.insert(FORWARD_HEADER, HeaderValue::from_str(&head).ok()?);
+        headers.insert(PROOF_HEADER, HeaderValue::from_str(&proof).ok()?);
+        Some(request)
+    }
+
+    fn pool(&self, address: SocketAddr) -> Arc<Pool> {
+        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(pools.entry(address).or_insert_with(|| Pool::new(address)))
+    }
+
+    /// Sends the request to another VM and waits for the head of its response.
+    pub async fn send(
+        &self,
+        call: &Call,
+        to: SocketAddr,
+        now: Uptime,
+    ) -> Result<Response<Body>, Failure> {
+        let left = call.left(now)?;
+        let fail = |sent, message: String| {
+            let kind = RefusalKind::PeerUnreachable;
+            let refusal = match sent {
+                Sent::Maybe => Refusal::unknown(kind, message),
+                _ => Refusal::not_run(kind, message),
+            };
+            Err(Failure { sent, crashed: false, refusal })
+        };
+        let Some(request) = self.build(call, left) else {
+            return fail(Sent::No, "the request cannot be forwarded; check its headers".to_owned());
+        };
+        let pool = self.pool(to);
+        let max_age = if call.idempotent { IDLE_FORWARD } else { IDLE_FORWARD_ONCE };
+        let mut connection = match pool.checkout(max_age).await {
+            Ok(connection) => connection,
+            Err(error) => return fail(Sent::No, error.to_string()),
+        };
+        let response = match tokio::time::timeout(left, connection.send(request)).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) if error.is_unsent() => return fail(Sent::No, error.to_string()),
+            Ok(Err(error)) => return fail(Sent::Maybe, error.to_string()),
+            Err(_) => {
+                let text = "the VM that runs the request did not answer in time; it may have run";
+                return fail(Sent::Maybe, text.to_owned());
+            }
+        };
+        let (mut head, body) = response.into_parts();
+        if !is_framed(&call.method, head.status, &head.headers) {
+            return fail(Sent::Maybe, "the response has no length; it may have run".to_owned());
+        }
+        let keep = [OUTCOME_HEADER, REQUEST_ID_HEADER, "content-length"];
+        let kept: Vec<_> =
+            keep.iter().filter_map(|n| head.headers.get(*n).map(|v| (*n, v.clone()))).collect();
+        head.headers = pass_on(&head.headers);
+        for (name, value) in kept {
+            head.headers.insert(name, value);
+        }
+        let body = Watched::new(body, Return { pool, connection });
+        Ok(Response::from_parts(head, body.boxed_unsync()))
+    }
+}
+
+/// Gives the connection back to its pool when the body has ended.
+struct Return {
+    pool: Arc<Pool>,
+    connection: Connection,
+}
+
+impl Watch for Return {
+    fn data(&mut self, _bytes: &Bytes) {}
+
+    fn whole(self) {
+        self.pool.give_back(self.connection);
+    }
+
+    fn cut(self) {}
+}
+
+fn read_hex(text: &str) -> Option<Vec<u8>> {
+    let digits = text.as_bytes();
+    if !digits.len().is_multiple_of(2) {
+        return None;
+    }
+    let value = |b: u8| char::from(b).to_digit(16);
+    digits
+        .chunks_exact(2)
+        .map(|pair| Some((value(pair[0])? * 16 + value(pair[1])?) as u8))
+        .collect()
+}
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -1,1 +1,30 @@
-//! HTTP from callers and to backend servers.
+//! HTTP from callers, between VMs and to backend servers.
+
+mod answer;
+mod attempt;
+mod body;
+mod call;
+mod engine;
+mod entry;
+mod executor;
+mod fleet;
+mod forward;
+mod framing;
+mod headers;
+mod home;
+mod pool;
+mod prefixed;
+mod run;
+mod server;
+mod slot;
+
+pub use body::{Body, BodyError, full};
+pub use call::Call;
+pub use engine::{Engine, EngineOptions};
+pub use fleet::{Fleet, RequestRecord};
+pub use headers::{
+    DEADLINE_HEADER, ENTRY_PATH, FORWARD_HEADER, IDEMPOTENCY_HEADER, KEY_HEADER, OUTCOME_HEADER,
+    PROOF_HEADER, REQUEST_ID_HEADER,
+};
+pub use home::{Home, HomeOptions};
+pub use server::{ServerOptions, serve};
--- /dev/null
+++ b/components/proxy/src/run.rs
@@ -0,0 +1,126 @@
+use std::sync::Arc;
+
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use http::Response;
+use kernel::prelude::*;
+use retry::{RetryRequest, SentState, may_retry};
+
+use crate::attempt::{self, Failure, Sent};
+use crate::body::Body;
+use crate::call::Call;
+use crate::home::Home;
+use crate::slot::Slot;
+
+/// Time that a further attempt is expected to take at least; a shorter rest is not worth a retry.
+const EXPECTED: Duration = Duration::from_millis(5);
+
+impl Home {
+    /// Runs a request on one of the service's backend servers, with retries and hedges as far as
+    /// the route and the budget allow.
+    pub async fn run(self: &Arc<Self>, call: &Call) -> Result<Response<Body>, Refusal> {
+        self.with_retries(|budget, _| budget.first_attempt("", &call.organisation));
+        let mut tried: Vec<BackendId> = Vec::new();
+        // Once an attempt may have run, no later refusal may say that the request was not run.
+        let mut doubt = false;
+        loop {
+            let slot = match self.acquire(call, &tried).await {
+                Ok(slot) => slot,
+                Err(refusal) if doubt => return Err(refusal.possibly_run()),
+                Err(refusal) => return Err(refusal),
+            };
+            let failure = match self.run_hedged(slot, call, &mut tried).await {
+                Ok(response) => return Ok(response),
+                Err(failure) => failure,
+            };
+            doubt |= failure.sent == Sent::Maybe;
+            if !self.may_retry(call, failure.sent, tried.len()) {
+                let refusal = failure.refusal;
+                return Err(if doubt { refusal.possibly_run() } else { refusal });
+            }
+        }
+    }
+
+    fn may_retry(&self, call: &Call, sent: Sent, tried: usize) -> bool {
+        let request = RetryRequest {
+            service: "",
+            organisation: &call.organisation,
+            idempotent: call.idempotent,
+            sent: match sent {
+                Sent::No => SentState::NotSent,
+                Sent::RefusedUnrun => SentState::RefusedUnrun,
+                Sent::Maybe => SentState::MaybeSent,
+            },
+            tried: u32::try_from(tried).unwrap_or(u32::MAX),
+            deadline: call.deadline,
+            expected: EXPECTED,
+        };
+        let now = self.now();
+        self.with_retries(|budget, _| may_retry(now, &request, budget)).is_ok()
+    }
+
+    /// Runs one attempt, and a second one beside it if the first is late. The first response wins;
+    /// the other attempt is dropped, which cancels it at the backend server.
+    async fn run_hedged(
+        self: &Arc<Self>,
+        slot: Slot,
+        call: &Call,
+        tried: &mut Vec<BackendId>,
+    ) -> Result<Response<Body>, Failure> {
+        tried.push(slot.backend.clone());
+        let start = self.now();
+        let mut running = FuturesUnordered::new();
+        running.push(attempt::run(slot, call, self.fleet()));
+        let due =
+            self.with_retries(|_, hedge| hedge.due(start, start, call.deadline, call.idempotent));
+        if let Some(due) = due {
+            tokio::select! {
+                biased;
+                first = running.next() => return self.ended(start, first),
+                () = tokio::time::sleep(due) => {}
+            }
+            if let Some(second) = self.hedge_slot(call, tried).await {
+                tried.push(second.backend.clone());
+                running.push(attempt::run(second, call, self.fleet()));
+            }
+        }
+        let mut last: Option<Failure> = None;
+        while let Some(result) = running.next().await {
+            match result {
+                Ok(response) => return self.ended(start, Some(Ok(response))),
+                // The failure that may have run is the one to report.
+                Err(failure) if failure.sent == Sent::Maybe => last = Some(failure),
+                Err(failure) => last = last.or(Some(failure)),
+            }
+        }
+        self.ended(start, last.map(Err))
+    }
+
+    fn ended(
+        &self,
+        start: Uptime,
+        result: Option<Result<Response<Body>, Failure>>,
+    ) -> Result<Response<Body>, Failure> {
+        let took = self.now().saturating_sub(start);
+        self.with_retries(|_, hedge| hedge.add(took));
+        result.unwrap_or_else(|| {
+            let message = "no attempt ended; the request may have run";
+            Err(Refusal::unknown(RefusalKind::BackendFailed, message).into())
+        })
+    }
+
+    /// A slot for a hedge, if one is free now and the budget allows it.
+    async fn hedge_slot(self: &Arc<Self>, call: &Call, tried: &[BackendId]) -> Option<Slot> {
+        /// Longest wait for a slot; a hedge that queues comes too late and takes another's place.
+        const WAIT: Duration = Duration::from_millis(5);
+        if !self.with_retries(|budget, _| budget.take("", &call.organisation)) {
+            return None;
+        }
+        let slot = tokio::time::timeout(WAIT, self.acquire(call, tried)).await;
+        if let Ok(Ok(slot)) = slot {
+            return Some(slot);
+        }
+        self.with_retries(|budget, _| budget.give_back("", &call.organisation));
+        None
+    }
+}
--- /dev/null
+++ b/components/proxy/src/slot.rs
@@ -0,0 +1,99 @@
+use std::sync::Arc;
+
+use kernel::prelude::*;
+use kernel::{AttemptId, AttemptOutcome, BackendEvent};
+use tokio_util::sync::CancellationToken;
+
+use crate::home::Home;
+use crate::pool::Pool;
+
+/// A reserved slot of a backend server. Dropping it frees the slot.
+pub struct Slot {
+    home: Arc<Home>,
+    /// Backend server.
+    pub backend: BackendId,
+    /// Connections to it.
+    pub pool: Arc<Pool>,
+    /// Cancelled when the detector finds that the connection of the attempt is silent.
+    pub silent: CancellationToken,
+    attempt: AttemptId,
+    organisation: OrganisationId,
+    start: Uptime,
+    /// Whether `Sent` was observed, so that the end must be observed too.
+    sent: bool,
+    /// Whether the end was observed.
+    ended: bool,
+}
+
+impl Slot {
+    /// Takes over a slot that the balancer has reserved.
+    pub(crate) fn new(
+        home: Arc<Home>,
+        backend: BackendId,
+        pool: Arc<Pool>,
+        silent: CancellationToken,
+        attempt: AttemptId,
+        organisation: OrganisationId,
+    ) -> Self {
+        let start = home.now();
+        Slot {
+            home,
+            backend,
+            pool,
+            silent,
+            attempt,
+            organisation,
+            start,
+            sent: false,
+            ended: false,
+        }
+    }
+
+    /// Tells the detector that the request goes out.
+    pub fn mark_sent(&mut self, reused: bool) {
+        self.sent = true;
+        self.home.observe(&BackendEvent::Sent {
+            backend: self.backend.clone(),
+            attempt: self.attempt,
+            reused,
+        });
+    }
+
+    /// Tells the detector that the head of the response arrived.
+    pub fn mark_answered(&mut self) {
+        self.home.observe(&BackendEvent::Answered { attempt: self.attempt });
+    }
+
+    /// Tells the detector how the attempt ended and frees the slot.
+    pub fn end(mut self, outcome: AttemptOutcome) {
+        self.finish(outcome, false);
+    }
+
+    /// Ends the attempt with the blame on the request and not on the backend server.
+    pub fn end_excused(mut self, outcome: AttemptOutcome) {
+        self.finish(outcome, true);
+    }
+
+    fn finish(&mut self, outcome: AttemptOutcome, excused: bool) {
+        if self.ended {
+            return;
+        }
+        self.ended = true;
+        if self.sent || outcome == AttemptOutcome::ConnectFailed {
+            self.home.observe(&BackendEvent::Ended {
+                backend: self.backend.clone(),
+                attempt: self.attempt,
+                outcome,
+                excused,
+            });
+        }
+        let used = self.home.now().saturating_sub(self.start);
+        self.home.release(&self.backend, self.attempt, &self.organisation, used);
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.finish(AttemptOutcome::Cancelled, false);
+    }
+}
