--- /dev/null
+++ b/components/detector/src/judge.rs
@@ -0,0 +1,256 @@
+use kernel::prelude::*;
+use kernel::{DetectorAction, EjectReason};
+use rand::{Rng, RngCore};
+
+use crate::evidence::Evidence;
+use crate::score::{CLEARED, SUSPECT, ejects_at};
+use crate::state::{State, ramp_share};
+use crate::track::Track;
+
+/// Shortest time between two probes of a service. A probe takes 25 ms of a backend server.
+const PROBE_GAP: Duration = Duration::from_secs(1);
+/// Time after which an unanswered probe has failed.
+const PROBE_WAIT: Duration = Duration::from_secs(2);
+/// Wait before the next probe after one has failed.
+const PROBE_AGAIN: Duration = Duration::from_secs(5);
+/// Shortest time between the first evidence and an ejection; two pauses of 500 ms in a row.
+const LEAST_SPAN: Duration = Duration::from_secs(1);
+/// Time for which failures to connect may be a partition that no peer has reported on yet.
+const PARTITION_DOUBT: Duration = Duration::from_secs(3);
+/// Age of a peer's report that it reaches the backend server.
+const REPORT_AGE: Duration = Duration::from_secs(5);
+/// Time for which an unreachable backend server is left alone.
+const UNREACHABLE_WAIT: Duration = Duration::from_secs(3);
+/// Deviations of its age at which a trial has failed: 0.65 s for a median of 50 ms and a 99th
+/// percentile of 250 ms.
+const TRIAL_LATE: f64 = 3.7;
+/// Deviations of its age at which an overtaken request is on a silent connection.
+const SILENT: f64 = 4.0;
+/// Later requests that must have been answered before a connection counts as silent.
+const OVERTAKEN: u32 = 2;
+/// Time in which a second silent connection is evidence against the backend server.
+const SILENT_AGAIN: Duration = Duration::from_secs(60);
+
+/// Re-evaluates all evidence.
+pub(crate) fn judge(
+    evidence: &mut Evidence,
+    now: Uptime,
+    rng: &mut dyn RngCore,
+) -> Vec<DetectorAction> {
+    let mut actions = Vec::new();
+    restore_surplus(evidence, &mut actions);
+    for (id, track) in &mut evidence.tracks {
+        drop_silent(id, track, now, &mut actions);
+        advance(id, track, now, rng, &mut actions);
+        find_unreachable(track, now);
+    }
+    let overload = suspect(evidence, now, &mut actions);
+    if !overload {
+        eject(evidence, now, rng, &mut actions);
+    }
+    probe(evidence, now, &mut actions);
+    actions
+}
+
+/// Takes the end of a probe.
+pub(crate) fn end_probe(track: &mut Track, now: Uptime, healthy: bool) {
+    match &mut track.state {
+        State::Ejected { probe: Some(_), .. } if healthy => {
+            track.half_open();
+        }
+        State::Unreachable { probe: Some(_), .. } if healthy => track.recover(now, false),
+        State::Ejected { until, probe } | State::Unreachable { until, probe } => {
+            *until = now + PROBE_AGAIN;
+            *probe = None;
+        }
+        _ => (),
+    }
+}
+
+/// Gives back units above the budget: those of backend servers that already work first.
+fn restore_surplus(evidence: &mut Evidence, actions: &mut Vec<DetectorAction>) {
+    let mut surplus = held(evidence).saturating_sub(allowed(evidence));
+    let ranks: [fn(&State) -> bool; 3] = [
+        |state| matches!(state, State::Ramp { held: true, .. }),
+        |state| matches!(state, State::HalfOpen { .. }),
+        |state| matches!(state, State::Ejected { .. }),
+    ];
+    for rank in ranks {
+        for (id, track) in evidence.tracks.iter_mut().filter(|(_, track)| rank(&track.state)) {
+            if surplus == 0 {
+                return;
+            }
+            surplus -= 1;
+            if let State::Ramp { held, .. } = &mut track.state {
+                *held = false;
+            } else {
+                // Its evidence still stands, so it is used last.
+                track.state = State::Taking;
+                track.suspect = true;
+                actions.push(DetectorAction::Restored { backend: id.clone(), falsely: false });
+            }
+        }
+    }
+}
+
+fn held(evidence: &Evidence) -> usize {
+    evidence.tracks.values().filter(|track| track.state.holds_unit()).count()
+}
+
+/// Ejections that the budget allows; leaving and unreachable backend servers use it too.
+fn allowed(evidence: &Evidence) -> usize {
+    let used = evidence.tracks.values().filter(|track| track.state.uses_budget()).count();
+    evidence.budget.saturating_sub(used)
+}
+
+/// Gives up connections that stay silent while later requests are answered.
+fn drop_silent(id: &BackendId, track: &mut Track, now: Uptime, actions: &mut Vec<DetectorAction>) {
+    let silent = |track: &Track| {
+        track.flights.iter().find_map(|(attempt, flight)| {
+            let waits = flight.answered.is_none() && !flight.dropped && flight.reused;
+            let late = track.deviation(now.saturating_sub(flight.sent)) >= SILENT;
+            (waits && late && flight.overtaken >= OVERTAKEN).then_some(*attempt)
+        })
+    };
+    while let Some(attempt) = silent(track) {
+        let again = track.dropped_at.is_some_and(|at| now.saturating_sub(at) < SILENT_AGAIN);
+        track.dropped_at = Some(now);
+        let late = track
+            .flights
+            .get(&attempt)
+            .map(|flight| (flight.sent, track.deviation(now.saturating_sub(flight.sent))));
+        if let (true, Some((sent, z))) = (again, late) {
+            track.score.abandon(now, sent, z);
+        }
+        if let Some(flight) = track.flights.get_mut(&attempt) {
+            flight.dropped = true;
+        }
+        actions.push(DetectorAction::DropConnection { backend: id.clone(), attempt });
+    }
+}
+
+/// Moves a backend server on its way back.
+fn advance(
+    id: &BackendId,
+    track: &mut Track,
+    now: Uptime,
+    rng: &mut dyn RngCore,
+    actions: &mut Vec<DetectorAction>,
+) {
+    match track.state {
+        State::HalfOpen { passed } => {
+            let late = |sent| track.deviation(now.saturating_sub(sent)) >= TRIAL_LATE;
+            let stalls = track
+                .flights
+                .values()
+                .any(|flight| flight.trial && flight.answered.is_none() && late(flight.sent));
+            if stalls || track.trial_failed || track.weigh(now).0 >= SUSPECT {
+                track.eject(now, rng.random());
+            } else if passed >= track.trials_needed() {
+                let falsely = !track.tainted;
+                track.recover(now, true);
+                actions.push(DetectorAction::Restored { backend: id.clone(), falsely });
+            }
+        }
+        State::Ramp { since, .. } if ramp_share(now, since).is_none() => {
+            track.state = State::Taking;
+        }
+        State::Ejected { probe: Some(sent), .. } | State::Unreachable { probe: Some(sent), .. }
+            if now.saturating_sub(sent) >= PROBE_WAIT =>
+        {
+            end_probe(track, now, false);
+        }
+        _ => (),
+    }
+}
+
+/// Finds out whether the way from this VM is broken and not the backend server.
+fn find_unreachable(track: &mut Track, now: Uptime) {
+    let (strength, _, since) = track.weigh(now);
+    let refused = track.connect_fails >= 2;
+    let silent = strength >= SUSPECT && track.alive.is_none_or(|at| at < since);
+    let since = if refused { track.connect_since } else { since };
+    // A report from before the first evidence says nothing about now.
+    let reached =
+        track.peer_reached.is_some_and(|at| at > since && now.saturating_sub(at) < REPORT_AGE);
+    let judged = track.state.takes_work() || matches!(track.state, State::Ejected { .. });
+    if judged && reached && (refused || silent) {
+        track.state = State::Unreachable { until: now + UNREACHABLE_WAIT, probe: None };
+        track.suspect = false;
+    }
+}
+
+/// Sets and clears suspicion. Returns true if most backend servers look bad at once: then the
+/// service is overloaded, and slowness says nothing about a single one.
+fn suspect(evidence: &mut Evidence, now: Uptime, actions: &mut Vec<DetectorAction>) -> bool {
+    let taking = evidence.tracks.values().filter(|track| track.state.takes_work()).count();
+    let bad = evidence
+        .tracks
+        .values()
+        .filter(|track| track.state.takes_work() && track.weigh(now).0 >= SUSPECT)
+        .count();
+    let overload = bad * 2 > taking;
+    for (id, track) in &mut evidence.tracks {
+        if overload {
+            track.score.forgive_slowness(now);
+        }
+        let (strength, reason, since) = track.weigh(now);
+        if !track.state.takes_work() || strength < CLEARED {
+            track.suspect = false;
+        } else if strength >= SUSPECT && !track.suspect {
+            track.suspect = true;
+            let after = now.saturating_sub(since);
+            actions.push(DetectorAction::Suspected { backend: id.clone(), reason, after });
+        }
+    }
+    overload
+}
+
+/// Ejects what the evidence and the budget allow, the strongest evidence first.
+fn eject(
+    evidence: &mut Evidence,
+    now: Uptime,
+    rng: &mut dyn RngCore,
+    actions: &mut Vec<DetectorAction>,
+) {
+    let mut due: Vec<(f64, EjectReason, Duration, BackendId)> = Vec::new();
+    for (id, track) in evidence.tracks.iter().filter(|(_, track)| track.state.takes_work()) {
+        let (strength, reason, since) = track.weigh_patiently(now);
+        let after = now.saturating_sub(since);
+        let doubt =
+            track.connect_fails > 0 && now.saturating_sub(track.connect_since) < PARTITION_DOUBT;
+        if strength >= ejects_at(reason) && after >= LEAST_SPAN && !doubt {
+            due.push((strength, reason, after, id.clone()));
+        }
+    }
+    due.sort_by(|a, b| b.0.total_cmp(&a.0));
+    for (_, reason, after, backend) in due {
+        let free = allowed(evidence).saturating_sub(held(evidence));
+        let Some(track) = evidence.tracks.get_mut(&backend) else { continue };
+        // One that is on its ramp still holds its unit.
+        if free == 0 && !track.state.holds_unit() {
+            continue;
+        }
+        track.eject(now, rng.random());
+        actions.push(DetectorAction::Ejected { backend, reason, after });
+    }
+}
+
+/// Sends a probe to one backend server whose wait is over.
+fn probe(evidence: &mut Evidence, now: Uptime, actions: &mut Vec<DetectorAction>) {
+    if evidence.last_probe.is_some_and(|at| now.saturating_sub(at) < PROBE_GAP) {
+        return;
+    }
+    for (id, track) in &mut evidence.tracks {
+        if let State::Ejected { until, probe } | State::Unreachable { until, probe } =
+            &mut track.state
+            && probe.is_none()
+            && now >= *until
+        {
+            *probe = Some(now);
+            evidence.last_probe = Some(now);
+            actions.push(DetectorAction::Probe { backend: id.clone() });
+            return;
+        }
+    }
+}
