--- /dev/null
+++ b/components/rights/src/holder.rs
@@ -0,0 +1,314 @@
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use kernel::{Incarnation, PlatformError, RowVersion, TableStore, Transaction, Uptime};
+
+use crate::session::read_lease;
+use crate::{Observer, RightsError, Session, ShareRow, right_key, session_key};
+
+/// Tries of one change before it is given up: every try costs a read and a write of the table.
+const TRIES: usize = 6;
+
+/// Units that this VM holds of a right.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Held {
+    /// Units held.
+    pub units: u32,
+    /// Units of the right in all.
+    pub total: u32,
+    /// End of the lease by the own clock. The units must not be used from then on.
+    pub until: Uptime,
+    /// Whether the units that this claim added were never held before.
+    pub fresh: bool,
+}
+
+/// Result of a renewal.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Renewal {
+    /// New end of the lease by the own clock.
+    pub until: Uptime,
+    /// Whether the old lease had ended; then nothing is held any more and has to be claimed again.
+    pub lapsed: bool,
+}
+
+/// Name of a right: its kind and its id.
+type Name = (Box<str>, Box<str>);
+
+/// Drives the table for this VM's rights.
+pub struct Holder {
+    table: Arc<dyn TableStore>,
+    clock: Arc<dyn Fn() -> Uptime + Send + Sync>,
+    session: Session,
+    observer: Observer,
+    /// Units in use and total, by right. A right whose units are 0 is not listed.
+    held: BTreeMap<Name, (u32, u32)>,
+    /// Units to keep of rights whose release has not been confirmed.
+    owed: BTreeMap<Name, u32>,
+    /// Versions that unconfirmed writes were based on. Such a write may still take effect as long
+    /// as the row has this version, so nothing read at this version is relied on.
+    doubt: HashMap<Box<str>, RowVersion>,
+}
+
+impl Holder {
+    /// A holder without a session. `clock` returns the time since the start of the process.
+    pub fn new(
+        table: Arc<dyn TableStore>,
+        incarnation: Incarnation,
+        lease: Duration,
+        clock: Arc<dyn Fn() -> Uptime + Send + Sync>,
+    ) -> Self {
+        Holder {
+            table,
+            clock,
+            session: Session::new(incarnation, lease),
+            observer: Observer::default(),
+            held: BTreeMap::new(),
+            owed: BTreeMap::new(),
+            doubt: HashMap::new(),
+        }
+    }
+
+    /// Units in use by kind and id; empty once the lease has ended.
+    pub fn held(&self) -> Vec<(Box<str>, Box<str>, Held)> {
+        let Ok(until) = self.session.check((self.clock)()) else { return Vec::new() };
+        self.held
+            .iter()
+            .map(|((kind, id), &(units, total))| {
+                (kind.clone(), id.clone(), Held { units, total, until, fresh: false })
+            })
+            .collect()
+    }
+
+    /// Renews the session and retries unconfirmed releases. Called every [`crate::RENEW_EVERY`].
+    pub async fn renew(&mut self) -> Result<Renewal, RightsError> {
+        let renewal = self.renew_session().await?;
+        let owed: Vec<_> = self.owed.iter().map(|(name, keep)| (name.clone(), *keep)).collect();
+        for ((kind, id), keep) in owed {
+            // The next renewal retries what fails here.
+            if self.release(&kind, &id, keep).await.is_err() {
+                break;
+            }
+        }
+        Ok(renewal)
+    }
+
+    async fn renew_session(&mut self) -> Result<Renewal, RightsError> {
+        let began = (self.clock)();
+        self.drop_lapsed(began);
+        let write = self.session.begin(began);
+        let lapsed = match self.table.commit(&write).await {
+            Ok(version) => self.session.confirm((self.clock)(), began, version),
+            Err(PlatformError::Conflict { .. } | PlatformError::ReplyLost(_)) => {
+                let key = session_key(self.session.incarnation());
+                let version = self.table.read(&key).await?.map_or(0, |row| row.version);
+                let now = (self.clock)();
+                match self.session.read_back(now, version) {
+                    Some(lapsed) => lapsed,
+                    None if version < self.session.version() => {
+                        return Err(RightsError::Foreign(self.session.incarnation()));
+                    }
+                    None => return Err(RightsError::Contended { key }),
+                }
+            }
+            Err(error) => return Err(error.into()),
+        };
+        if lapsed {
+            self.held.clear();
+        }
+        Ok(Renewal { until: self.session.check((self.clock)())?, lapsed })
+    }
+
+    fn drop_lapsed(&mut self, now: Uptime) {
+        if self.session.check(now).is_err() {
+            self.held.clear();
+        }
+    }
+
+    /// Raises the units held of a right to `want` in all, at most `max`, out of `total`.
+    ///
+    /// Where units are shares of a whole, `total` must be the same in every call on every VM.
+    pub async fn claim(
+        &mut self,
+        kind: &str,
+        id: &str,
+        want: u32,
+        total: u32,
+        max: u32,
+    ) -> Result<Held, RightsError> {
+        let key = right_key(kind, id);
+        let name: Name = (kind.into(), id.into());
+        let me = self.session.incarnation();
+        self.owed.remove(&name);
+        // Units and freshness of a claim of this call whose reply was lost.
+        let mut lost: Option<(u32, bool)> = None;
+        for _ in 0..TRIES {
+            self.session.check((self.clock)())?;
+            let (version, mut row) = self.read_row(&key, total).await?;
+            row.total = total;
+            let (pruned, mut checks) = self.prune(&row, want.min(max)).await?;
+            let claimed = pruned.claim(me, want, max)?;
+            let doubtful = self.doubt.get(&key) == Some(&version);
+            if claimed.units == row.units_of(me) && !doubtful {
+                let fresh = lost == Some((claimed.units, true));
+                return self.accept(name, &key, claimed.units, total, fresh);
+            }
+            checks.push((session_key(me), self.session.version()));
+            match self.write_row(&key, version, &claimed.row, checks).await? {
+                Written::Yes => {
+                    for entry in row.entries.iter().filter(|e| pruned.units_of(e.holder) == 0) {
+                        self.observer.forget(entry.holder);
+                    }
+                    return self.accept(name, &key, claimed.units, total, claimed.fresh);
+                }
+                Written::Maybe => lost = Some((claimed.units, claimed.fresh)),
+                Written::No => {}
+            }
+        }
+        Err(RightsError::Contended { key })
+    }
+
+    fn accept(
+        &mut self,
+        name: Name,
+        key: &str,
+        units: u32,
+        total: u32,
+        fresh: bool,
+    ) -> Result<Held, RightsError> {
+        self.doubt.remove(key);
+        let until = self.session.check((self.clock)())?;
+        if units == 0 {
+            self.held.remove(&name);
+        } else {
+            self.held.insert(name, (units, total));
+        }
+        Ok(Held { units, total, until, fresh })
+    }
+
+    /// Lowers the units held of a right to `keep`.
+    ///
+    /// The caller has stopped using the units. They stay unused here even if the write fails; it
+    /// is then repeated by the next renewal.
+    pub async fn release(&mut self, kind: &str, id: &str, keep: u32) -> Result<(), RightsError> {
+        let key = right_key(kind, id);
+        let name: Name = (kind.into(), id.into());
+        let me = self.session.incarnation();
+        if let Some((units, total)) = self.held.remove(&name)
+            && units.min(keep) > 0
+        {
+            self.held.insert(name.clone(), (units.min(keep), total));
+        }
+        self.owed.insert(name.clone(), keep);
+        for _ in 0..TRIES {
+            let (version, row) = self.read_row(&key, 0).await?;
+            let doubtful = self.doubt.get(&key) == Some(&version);
+            if row.units_of(me) > keep || doubtful {
+                match self.write_row(&key, version, &row.release(me, keep), Vec::new()).await? {
+                    Written::Yes => {}
+                    Written::Maybe | Written::No => continue,
+                }
+            }
+            self.doubt.remove(&key);
+            self.owed.remove(&name);
+            return Ok(());
+        }
+        Err(RightsError::Contended { key })
+    }
+
+    /// Gives up everything and ends the session. The caller has stopped using all units.
+    pub async fn release_all(&mut self) -> Result<(), RightsError> {
+        let names: Vec<Name> = self.held.keys().chain(self.owed.keys()).cloned().collect();
+        for name in &names {
+            self.owed.insert(name.clone(), 0);
+        }
+        self.held.clear();
+        for (kind, id) in names {
+            self.release(&kind, &id, 0).await?;
+        }
+        let key = session_key(self.session.incarnation());
+        let write = Transaction { deletes: vec![key], ..Transaction::default() };
+        self.table.commit(&write).await?;
+        Ok(())
+    }
+
+    async fn read_row(&self, key: &str, total: u32) -> Result<(RowVersion, ShareRow), RightsError> {
+        let Some(row) = self.table.read(key).await? else {
+            return Ok((0, ShareRow::new(total)));
+        };
+        match serde_json::from_str(&row.value) {
+            Ok(shares) => Ok((row.version, shares)),
+            Err(error) => Err(RightsError::Unreadable {
+                key: key.into(),
+                version: row.version,
+                finding: error.to_string().into(),
+            }),
+        }
+    }
+
+    /// Removes ended holders from the row if the claim needs their units.
+    ///
+    /// Returns the checks that the write needs: the sessions must still be unchanged.
+    async fn prune(
+        &mut self,
+        row: &ShareRow,
+        want: u32,
+    ) -> Result<(ShareRow, Vec<(Box<str>, RowVersion)>), RightsError> {
+        let me = self.session.incarnation();
+        if want.saturating_sub(row.units_of(me)) <= row.free() {
+            return Ok((row.clone(), Vec::new()));
+        }
+        let mut ended = Vec::new();
+        for entry in row.entries.iter().filter(|e| e.holder != me) {
+            let key = session_key(entry.holder);
+            let row = self.table.read(&key).await?;
+            let version = row.as_ref().map_or(0, |row| row.version);
+            // Another VM may run with other settings.
+            let own = self.session.lease();
+            let lease = row.map_or(own, |row| read_lease(&row.value)).max(own);
+            let now = (self.clock)();
+            self.observer.note(now, entry.holder, version);
+            if let Some(version) = self.observer.ended(now, entry.holder, lease) {
+                ended.push((entry.holder, key, version));
+            }
+        }
+        let pruned = row.prune(|holder| ended.iter().any(|e| e.0 == holder));
+        Ok((pruned, ended.into_iter().map(|(_, key, version)| (key, version)).collect()))
+    }
+
+    async fn write_row(
+        &mut self,
+        key: &str,
+        version: RowVersion,
+        row: &ShareRow,
+        mut checks: Vec<(Box<str>, RowVersion)>,
+    ) -> Result<Written, RightsError> {
+        checks.push((key.into(), version));
+        let value = serde_json::to_string(row).map_err(|error| RightsError::Unreadable {
+            key: key.into(),
+            version,
+            finding: error.to_string().into(),
+        })?;
+        let write =
+            Transaction { checks, puts: vec![(key.into(), value.into())], deletes: Vec::new() };
+        match self.table.commit(&write).await {
+            Ok(_) => Ok(Written::Yes),
+            Err(PlatformError::Conflict { .. }) => Ok(Written::No),
+            Err(PlatformError::ReplyLost(_)) => {
+                self.doubt.insert(key.into(), version);
+                Ok(Written::Maybe)
+            }
+            Err(error) => Err(error.into()),
+        }
+    }
+}
+
+/// What became of a write.
+enum Written {
+    /// It took effect.
+    Yes,
+    /// It did not take effect.
+    No,
+    /// It may have taken effect or may still do so.
+    Maybe,
+}
