--- a/components/kernel/src/limiter.rs
+++ b/components/kernel/src/limiter.rs
@@ -68,7 +68,15 @@
     Claim {
         /// Organisation.
         organisation: OrganisationId,
-        /// Units wanted.
+        /// Units to hold in all, those held already included.
+        units: u32,
+    },
+    /// Lower the units held in the share ledger. The limiter has already stopped using the rest
+    /// and takes no more than `units` until `set_units` has confirmed this or a lower number.
+    Release {
+        /// Organisation.
+        organisation: OrganisationId,
+        /// Units to keep.
         units: u32,
     },
 }
