Add the failure detector of the VMs

Every VM needs a view of the live VMs that finds a dead one within about 2 s at a constant number of messages. Pings of random peers, indirect pings, suspicion with refutation by generation, bounded piggybacked updates, and the platform's list as a seed that revives nothing.

--- /dev/null
+++ b/components/membership/src/membership.rs
@@ -0,0 +1,377 @@
+use std::collections::HashMap;
+use std::time::Duration;
+
+use kernel::{Incarnation, Uptime, Version, VmEntry, VmId, VmState};
+use rand::RngCore;
+use rand::seq::{IteratorRandom, SliceRandom};
+
+use crate::gossip::Gossip;
+use crate::member::Member;
+use crate::probe::{ProbeEvent, Probes};
+use crate::{MembershipAction, MembershipMessage, MessageKind, Peer, Status, Update, UpdateEntry};
+
+/// Time between two rounds of pings.
+pub const PERIOD: Duration = Duration::from_millis(200);
+/// Pings of a round. With one, a dead VM of 44 stays unpinged for 1 s in one of 100 cases; with
+/// two for 0.5 s.
+pub const PINGS: usize = 2;
+/// VMs that are asked to ping one that does not answer.
+const HELPERS: usize = 3;
+/// Rounds between two pings of a VM taken for dead, so that a healed partition is noticed.
+const DEAD_ROUNDS: u64 = 5;
+/// Most updates of a message.
+const MOST_UPDATES: usize = 8;
+/// Most bytes of the updates of a message. With 120 bytes of frame, four messages a round and one
+/// for a dead VM each second this bounds the fleet's traffic to about 13 KB/s a VM.
+const MOST_BYTES: usize = 480;
+/// Silence between two ticks after which this process is taken to have been paused.
+const PAUSE: Duration = Duration::from_millis(600);
+/// Time that dead VMs and those that left are remembered: longer than the list of the platform
+/// lags, and as long as the longest outage of the store.
+const REMEMBER: Duration = Duration::from_secs(4 * 3600);
+/// Most entries of the list that wait for a first answer.
+const MOST_CANDIDATES: usize = 128;
+
+/// Time that a suspect has to refute: five rounds, or as many as an update needs to reach a fleet
+/// of `vms`.
+pub fn suspicion(vms: usize) -> Duration {
+    PERIOD.mul_f64((vms.max(1) as f64).log2().max(5.0))
+}
+
+/// Failure detector of one VM, in the manner of SWIM.
+///
+/// A VM is known by its incarnation. Of two statements about it the one of the higher generation
+/// holds, and only the VM itself raises its generation; so an incarnation known dead or left comes
+/// back by its own word alone, and no list can revive it.
+#[derive(Debug)]
+pub struct Membership {
+    pub(crate) own: VmEntry,
+    pub(crate) generation: u32,
+    pub(crate) members: HashMap<Incarnation, Member>,
+    /// Incarnation of each VM name that is live or dead, but not left.
+    pub(crate) names: HashMap<VmId, Incarnation>,
+    /// Dead and left incarnations of which no description was known, with the time and generation.
+    pub(crate) buried: HashMap<Incarnation, (Uptime, u32)>,
+    pub(crate) gossip: Gossip,
+    pub(crate) probes: Probes,
+    /// VMs still to ping in this pass, in random order.
+    ring: Vec<Incarnation>,
+    /// Entries of the platform's list that have not answered yet.
+    candidates: Vec<VmEntry>,
+    version: Version,
+    confirmed: Uptime,
+    next: Uptime,
+    last: Uptime,
+    rounds: u64,
+}
+
+impl Membership {
+    /// A detector for the VM `own`, which knows no other VM yet.
+    pub fn new(now: Uptime, own: VmEntry) -> Self {
+        Membership {
+            own,
+            generation: 0,
+            members: HashMap::new(),
+            names: HashMap::new(),
+            buried: HashMap::new(),
+            gossip: Gossip::default(),
+            probes: Probes::default(),
+            ring: Vec::new(),
+            candidates: Vec::new(),
+            version: 0,
+            confirmed: Uptime::ZERO,
+            next: now,
+            last: now,
+            rounds: 0,
+        }
+    }
+
+    /// Sets what messages say of the configuration: its version, and when this VM last had
+    /// confirmation that no newer one exists.
+    pub fn set_configuration(&mut self, version: Version, confirmed: Uptime) {
+        self.version = version;
+        self.confirmed = confirmed;
+    }
+
+    /// Takes over the platform's list, which may be minutes old.
+    ///
+    /// Entries unknown so far become members at once while no other VM has been heard, and
+    /// otherwise when they answer. A missing entry means nothing.
+    pub fn seed(&mut self, now: Uptime, list: &[VmEntry]) -> Vec<MembershipAction> {
+        let alone = self.members.values().all(|m| m.heard.is_none());
+        let mut actions = Vec::new();
+        for entry in list {
+            let incarnation = entry.incarnation;
+            if incarnation == self.own.incarnation || self.buried.contains_key(&incarnation) {
+                continue;
+            }
+            if self.members.contains_key(&incarnation) {
+                if entry.state == VmState::Leaving {
+                    self.mark_left(now, incarnation, &mut actions);
+                }
+                continue;
+            }
+            if entry.state == VmState::Leaving || entry.vm == self.own.vm {
+                continue;
+            }
+            let waits = self.candidates.iter().any(|c| c.incarnation == incarnation);
+            if alone && !self.names.contains_key(&entry.vm) {
+                self.add(now, entry.clone(), 0, None, &mut actions);
+            } else if !waits && self.candidates.len() < MOST_CANDIDATES {
+                self.candidates.push(entry.clone());
+            }
+        }
+        actions
+    }
+
+    /// Announces that this VM leaves. It goes on pinging and answering until it stops.
+    pub fn leave(&mut self) {
+        if self.own.state == VmState::Live {
+            self.own.state = VmState::Leaving;
+            self.generation += 1;
+            self.gossip.queue(self.own.incarnation, self.transmissions());
+        }
+    }
+
+    /// Sends the pings that are due and draws conclusions from silence. Called every 50 ms.
+    pub fn tick(&mut self, now: Uptime, rng: &mut dyn RngCore) -> Vec<MembershipAction> {
+        let mut actions = Vec::new();
+        let gap = now.saturating_sub(self.last);
+        self.last = now;
+        if gap > PAUSE {
+            // Answers and refutations may still be unread after a pause.
+            self.probes.reset();
+            for member in self.members.values_mut().filter(|m| m.status == Status::Suspect) {
+                member.since += gap;
+            }
+        }
+        for event in self.probes.poll(now) {
+            match event {
+                ProbeEvent::AskOthers { seq, peer } => {
+                    self.ask_others(now, seq, peer, rng, &mut actions);
+                }
+                ProbeEvent::Silent { peer } => self.suspect(now, peer.incarnation, &mut actions),
+            }
+        }
+        self.bury(now, &mut actions);
+        if now >= self.next {
+            self.next = (self.next + PERIOD).max(now);
+            self.round(now, rng, &mut actions);
+        }
+        actions
+    }
+
+    /// Takes a message from the process start `from`.
+    pub fn receive(
+        &mut self,
+        now: Uptime,
+        from: Incarnation,
+        message: MembershipMessage,
+        _rng: &mut dyn RngCore,
+    ) -> Vec<MembershipAction> {
+        let mut actions = Vec::new();
+        let sender = Peer { incarnation: from, address: message.address };
+        for update in message.updates {
+            self.apply(now, update, &mut actions);
+        }
+        if let Some(member) = self.members.get_mut(&from) {
+            member.heard = Some(now);
+        }
+        let stranger = !self.members.contains_key(&from);
+        match message.kind {
+            MessageKind::Ping { .. } => {
+                let ack = self.message(now, from, MessageKind::Ack, message.seq, message.unknown);
+                actions.push(MembershipAction::Send { to: sender, message: ack });
+            }
+            MessageKind::Ack => {
+                if let Some((asker, seq)) = self.probes.answered(now, from, message.seq) {
+                    let kind = MessageKind::Relayed { incarnation: from };
+                    let message = self.message(now, asker.incarnation, kind, seq, false);
+                    actions.push(MembershipAction::Send { to: asker, message });
+                }
+            }
+            MessageKind::Request { peer } => {
+                if let Some(seq) = self.probes.relay(now, sender, message.seq, peer.incarnation) {
+                    self.ping(now, peer, seq, &mut actions);
+                }
+            }
+            MessageKind::Relayed { incarnation } => self.probes.relayed(incarnation, message.seq),
+            MessageKind::Hello => {}
+        }
+        let answered = matches!(message.kind, MessageKind::Ping { .. });
+        if !answered && (message.unknown || stranger) {
+            let hello = self.message(now, from, MessageKind::Hello, 0, message.unknown);
+            actions.push(MembershipAction::Send { to: sender, message: hello });
+        }
+        actions
+    }
+
+    /// Number of messages that carry an update: about log2 of the fleet's size.
+    pub(crate) fn transmissions(&self) -> u32 {
+        ((self.members.len() + 2) as f64).log2().ceil() as u32 + 1
+    }
+
+    fn round(&mut self, now: Uptime, rng: &mut dyn RngCore, actions: &mut Vec<MembershipAction>) {
+        self.rounds += 1;
+        if self.rounds == 1 {
+            self.gossip.queue(self.own.incarnation, self.transmissions());
+        }
+        for _ in 0..PINGS {
+            let Some(peer) = self.next_peer(rng) else { break };
+            let seq = self.probes.open(now, peer);
+            self.ping(now, peer, seq, actions);
+        }
+        let candidate =
+            self.candidates.pop().map(|c| Peer { incarnation: c.incarnation, address: c.peers });
+        let due = candidate.is_none() && self.rounds.is_multiple_of(DEAD_ROUNDS);
+        let dead = |m: &&Member| due && m.status == Status::Dead;
+        let mut dead: Vec<Peer> = self.members.values().filter(dead).map(Member::peer).collect();
+        // The order of a hash map differs between runs of one seed.
+        dead.sort_unstable();
+        if let Some(peer) = candidate.or_else(|| dead.into_iter().choose(rng)) {
+            let seq = self.probes.next_seq();
+            self.ping(now, peer, seq, actions);
+        }
+    }
+
+    /// The next VM to ping. Each pass over the live VMs has its own random order.
+    fn next_peer(&mut self, rng: &mut dyn RngCore) -> Option<Peer> {
+        for pass in 0..2 {
+            while let Some(incarnation) = self.ring.pop() {
+                if let Some(member) = self.members.get(&incarnation).filter(|m| m.is_live()) {
+                    return Some(member.peer());
+                }
+            }
+            if pass == 0 {
+                let live = self.members.values().filter(|m| m.is_live());
+                self.ring = live.map(|m| m.entry.incarnation).collect();
+                // The order of a hash map differs between runs of one seed.
+                self.ring.sort_unstable();
+                self.ring.shuffle(rng);
+            }
+        }
+        None
+    }
+
+    fn ask_others(
+        &mut self,
+        now: Uptime,
+        seq: u64,
+        peer: Peer,
+        rng: &mut dyn RngCore,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let others = self.members.values().filter(|m| m.status == Status::Alive);
+        let mut others: Vec<Peer> =
+            others.map(Member::peer).filter(|p| p.incarnation != peer.incarnation).collect();
+        others.sort_unstable();
+        for to in others.into_iter().choose_multiple(rng, HELPERS) {
+            let kind = MessageKind::Request { peer };
+            let message = self.message(now, to.incarnation, kind, seq, false);
+            actions.push(MembershipAction::Send { to, message });
+        }
+    }
+
+    fn ping(&mut self, now: Uptime, to: Peer, seq: u64, actions: &mut Vec<MembershipAction>) {
+        let kind = MessageKind::Ping { to: to.incarnation };
+        let message = self.message(now, to.incarnation, kind, seq, false);
+        actions.push(MembershipAction::Send { to, message });
+    }
+
+    /// A message to `to` with as many updates as fit. `introduce` adds this VM's own entry.
+    fn message(
+        &mut self,
+        now: Uptime,
+        to: Incarnation,
+        kind: MessageKind,
+        seq: u64,
+        introduce: bool,
+    ) -> Box<MembershipMessage> {
+        let mut about: Vec<Incarnation> = Vec::new();
+        // A VM that is not taken for alive must hear it, to refute.
+        if self.members.get(&to).is_some_and(|m| m.status != Status::Alive) {
+            about.push(to);
+        }
+        if introduce {
+            about.push(self.own.incarnation);
+        }
+        for incarnation in self.gossip.first(MOST_UPDATES) {
+            if !about.contains(&incarnation) {
+                about.push(incarnation);
+            }
+        }
+        let (mut updates, mut bytes) = (Vec::new(), 0);
+        for incarnation in about {
+            let Some(update) = self.statement(now, incarnation) else {
+                self.gossip.forget(incarnation);
+                continue;
+            };
+            bytes += update.size();
+            if !updates.is_empty() && (bytes > MOST_BYTES || updates.len() >= MOST_UPDATES) {
+                break;
+            }
+            self.gossip.carried(incarnation);
+            updates.push(update);
+        }
+        Box::new(MembershipMessage {
+            kind,
+            seq,
+            address: self.own.peers,
+            unknown: !self.members.contains_key(&to),
+            version: self.version,
+            freshness: now.saturating_sub(self.confirmed),
+            updates,
+        })
+    }
+
+    /// What this VM has to say of another or of itself.
+    fn statement(&self, now: Uptime, incarnation: Incarnation) -> Option<Update> {
+        let own = self.own.incarnation == incarnation;
+        if own {
+            let leaving = self.own.state == VmState::Leaving;
+            let status = if leaving { Status::Left } else { Status::Alive };
+            let about = UpdateEntry { entry: self.own.clone(), up_ms: now.as_millis() as u64 };
+            let generation = self.generation;
+            return Some(Update { incarnation, generation, status, age_ms: 0, about: Some(about) });
+        }
+        let member = self.members.get(&incarnation)?;
+        let age = now.saturating_sub(member.since).as_millis();
+        let about = match (member.status, member.started) {
+            (Status::Alive, Some(started)) => {
+                let up = (now.as_secs_f64() - started).max(0.0);
+                Some(UpdateEntry { entry: member.entry.clone(), up_ms: (up * 1e3) as u64 })
+            }
+            // Only the list has named it: that is nothing to pass on.
+            (Status::Alive, None) => return None,
+            _ => None,
+        };
+        Some(Update {
+            incarnation,
+            generation: member.generation,
+            status: member.status,
+            age_ms: age.try_into().unwrap_or(u32::MAX),
+            about,
+        })
+    }
+
+    /// Takes suspects that did not refute for dead, and forgets what is old.
+    fn bury(&mut self, now: Uptime, actions: &mut Vec<MembershipAction>) {
+        let wait = suspicion(self.members.len() + 1);
+        let late = |m: &&Member| m.status == Status::Suspect && now >= m.since + wait;
+        let mut dead: Vec<Incarnation> =
+            self.members.values().filter(late).map(|m| m.entry.incarnation).collect();
+        dead.sort_unstable();
+        for incarnation in dead {
+            self.mark_dead(now, incarnation, actions);
+        }
+        let names = &mut self.names;
+        self.members.retain(|incarnation, m| {
+            let keep = m.is_live() || now < m.since + REMEMBER;
+            if !keep && names.get(&m.entry.vm) == Some(incarnation) {
+                names.remove(&m.entry.vm);
+            }
+            keep
+        });
+        self.buried.retain(|_, (at, _)| now < *at + REMEMBER);
+    }
+}
--- a/components/retry/src/answers.rs
+++ b/components/retry/src/answers.rs
@@ -1,4 +1,4 @@
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
 use kernel::{Incarnation, OrganisationId, Uptime};
@@ -80,7 +80,7 @@
     /// Latest time seen; never decreases.
     clock: Uptime,
     entries: SlotMap<EntryId, Entry>,
-    held: HashMap<OrganisationId, Held>,
+    held: BTreeMap<OrganisationId, Held>,
     /// Entries by time of expiry; stale if the entry's own time differs.
     expiry: VecDeque<(Uptime, EntryId)>,
     bytes: usize,
@@ -95,7 +95,7 @@
             limits,
             clock: Uptime::ZERO,
             entries: SlotMap::with_key(),
-            held: HashMap::new(),
+            held: BTreeMap::new(),
             expiry: VecDeque::new(),
             bytes: 0,
             attempts: 0,
--- a/components/retry/src/crash.rs
+++ b/components/retry/src/crash.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use kernel::{AttemptId, BackendId, Incarnation, Uptime};
@@ -86,8 +86,8 @@
     own: Incarnation,
     /// Homes of the service in the order of their ranking; the first is the arbiter.
     homes: Vec<Incarnation>,
-    copies: HashMap<AttemptId, Copy>,
-    records: HashMap<Fingerprint, CrashRecord>,
+    copies: BTreeMap<AttemptId, Copy>,
+    records: BTreeMap<Fingerprint, CrashRecord>,
     /// Attempt of the suspect that runs now.
     trial: Option<AttemptId>,
     /// Raised with every change of a record, so that numbers grow over forgotten records too.
@@ -101,8 +101,8 @@
         CrashGuard {
             own,
             homes: vec![own],
-            copies: HashMap::new(),
-            records: HashMap::new(),
+            copies: BTreeMap::new(),
+            records: BTreeMap::new(),
             trial: None,
             seq: 0,
             outbox: Vec::new(),
