Add the messages between VMs and the assembly of the daemon

Cause: the request path needs the rest of the VM: configuration, membership, rights, rates and the messages that carry them.

Change: tarpc calls after a handshake that proves the fleet secret on both sides; a shared state with one task for each job; the configuration follows the head of the table or another VM's deltas and never goes back.

--- /dev/null
+++ b/components/node/src/bus.rs
@@ -0,0 +1,85 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use kernel::LimiterAction;
+use kernel::prelude::*;
+use membership::MembershipAction;
+use peers::Message;
+
+use crate::rights::ClaimRequest;
+use crate::shared::Shared;
+use crate::view::View;
+
+impl Shared {
+    /// Delivers messages to a VM without waiting. A message that is lost is not sent again: every
+    /// protocol above has its own repeats.
+    pub fn send(self: &Arc<Self>, to: SocketAddr, messages: Vec<Message>) {
+        if messages.is_empty() {
+            return;
+        }
+        let shared = Arc::clone(self);
+        tokio::spawn(async move {
+            if let Err(error) = shared.peers.deliver(to, &messages).await {
+                log::debug!("messages lost: {error}");
+            }
+        });
+    }
+
+    /// Sends a message to every other live VM.
+    pub fn broadcast(self: &Arc<Self>, message: &Message) {
+        for vm in &self.view.load().vms {
+            if vm.incarnation != self.me.incarnation {
+                self.send(vm.peers, vec![message.clone()]);
+            }
+        }
+    }
+
+    /// Does what the rate limiter wants done.
+    pub fn act_limiter(self: &Arc<Self>, actions: Vec<LimiterAction>) {
+        let view = self.view.load();
+        for action in actions {
+            match action {
+                LimiterAction::Send { to, message } => {
+                    if let Some(vm) = view.vm(to) {
+                        self.send(vm.peers, vec![Message::Limiter(message)]);
+                    }
+                }
+                LimiterAction::Claim { organisation, units } => {
+                    // The receiver lives as long as the process.
+                    let _ = self.claims.send(ClaimRequest::Claim(organisation, units));
+                }
+                LimiterAction::Release { organisation, units } => {
+                    let _ = self.claims.send(ClaimRequest::Release(organisation, units));
+                }
+            }
+        }
+    }
+
+    /// Does what the failure detector wants done.
+    pub fn act_membership(self: &Arc<Self>, actions: Vec<MembershipAction>) {
+        let mut changed = false;
+        for action in actions {
+            match action {
+                MembershipAction::Send { to, message } => {
+                    self.send(to.address, vec![Message::Membership(*message)]);
+                }
+                MembershipAction::Suspected { .. } | MembershipAction::Recovered { .. } => {}
+                MembershipAction::Joined { .. }
+                | MembershipAction::Died { .. }
+                | MembershipAction::Left { .. } => changed = true,
+            }
+        }
+        if changed {
+            self.refresh_view();
+        }
+    }
+
+    /// Takes over the live VMs from the failure detector.
+    pub fn refresh_view(self: &Arc<Self>) {
+        let vms: Vec<_> = self.membership().live().cloned().collect();
+        let incarnations: Vec<Incarnation> = vms.iter().map(|vm| vm.incarnation).collect();
+        self.peers.retain(|address| vms.iter().any(|vm| vm.peers == *address));
+        self.view.store(Arc::new(View::new(vms)));
+        self.limiter().set_vms(self.now(), &incarnations);
+    }
+}
--- /dev/null
+++ b/components/node/src/clock.rs
@@ -0,0 +1,21 @@
+use std::time::Instant;
+
+use kernel::Uptime;
+
+/// Clock of the process; it is monotonic.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    /// A clock that starts now.
+    pub fn start() -> Self {
+        Clock { start: Instant::now() }
+    }
+
+    /// Time since the start of the process.
+    pub fn now(&self) -> Uptime {
+        self.start.elapsed()
+    }
+}
--- /dev/null
+++ b/components/node/src/flags.rs
@@ -0,0 +1,68 @@
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use kernel::prelude::*;
+
+/// Small facts that many tasks read.
+#[derive(Debug, Default)]
+pub struct Flags {
+    stopping: AtomicBool,
+    store_away: AtomicBool,
+    /// Uptime in milliseconds at which the version in force was confirmed to be the newest.
+    confirmed_ms: AtomicU64,
+    /// Uptime in milliseconds at which a version above the one in force was first heard of; 0 if
+    /// none is known.
+    behind_ms: AtomicU64,
+}
+
+fn millis(time: Uptime) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl Flags {
+    /// Whether this VM has begun to stop.
+    pub fn stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Begins to stop.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    /// Notes whether the platform's table answered. Returns whether that has changed.
+    pub fn set_store_away(&self, away: bool) -> bool {
+        self.store_away.swap(away, Ordering::AcqRel) != away
+    }
+
+    /// Whether the platform's table did not answer its last request.
+    pub fn store_away(&self) -> bool {
+        self.store_away.load(Ordering::Acquire)
+    }
+
+    /// When the version in force was last confirmed to be the newest.
+    pub fn confirmed(&self) -> Uptime {
+        Duration::from_millis(self.confirmed_ms.load(Ordering::Acquire))
+    }
+
+    /// Notes that the version in force was the newest at this time.
+    pub fn confirm(&self, at: Uptime) {
+        self.confirmed_ms.fetch_max(millis(at), Ordering::AcqRel);
+    }
+
+    /// Notes that a higher version than the one in force is known.
+    pub fn fall_behind(&self, now: Uptime) {
+        let now = millis(now).max(1);
+        let _ = self.behind_ms.compare_exchange(0, now, Ordering::AcqRel, Ordering::Acquire);
+    }
+
+    /// Notes that no higher version is known any more.
+    pub fn catch_up(&self) {
+        self.behind_ms.store(0, Ordering::Release);
+    }
+
+    /// Since when a higher version has been known.
+    pub fn behind_since(&self) -> Option<Uptime> {
+        let since = self.behind_ms.load(Ordering::Acquire);
+        (since != 0).then(|| Duration::from_millis(since))
+    }
+}
--- /dev/null
+++ b/components/node/src/fleet.rs
@@ -0,0 +1,194 @@
+use std::sync::Arc;
+
+use config::Lookup;
+use futures::future::BoxFuture;
+use kernel::prelude::*;
+use kernel::{
+    Admission, EjectReason, PlatformError, ServiceContext, Transaction, VmEntry, build_balancer,
+    build_detector, build_queue,
+};
+use proxy::{Fleet, HomeOptions, RequestRecord};
+use retry::Claimed;
+use serde::{Deserialize, Serialize};
+
+use crate::shared::Shared;
+
+/// Direct contact with other VMs counts for this long.
+const HEARD: Duration = Duration::from_secs(3);
+
+/// The part of [`Shared`] that the request path sees.
+pub struct FleetView(pub Arc<Shared>);
+
+/// Row that claims a caller-made idempotency key.
+#[derive(Debug, Serialize, Deserialize)]
+struct ClaimRow {
+    incarnation: Incarnation,
+    attempt: u64,
+}
+
+impl From<ClaimRow> for Claimed {
+    fn from(row: ClaimRow) -> Self {
+        Claimed::Row { incarnation: row.incarnation, attempt: row.attempt }
+    }
+}
+
+impl Shared {
+    /// Whether this VM hears enough of the fleet to believe that the table is away for all.
+    fn hears_half(&self, now: Uptime) -> bool {
+        let (heard, known) = self.membership().heard_within(now, HEARD);
+        heard * 2 >= known
+    }
+
+    /// Whether this VM hears more than half of the fleet, so that every VM that serves hears one
+    /// that knows of a change accepted here.
+    pub fn hears_majority(&self) -> bool {
+        let (heard, known) = self.membership().heard_within(self.now(), HEARD);
+        heard * 2 > known
+    }
+
+    /// Time since the version in force was known to be the newest.
+    pub fn staleness(&self, now: Uptime) -> Duration {
+        now.saturating_sub(self.flags.confirmed())
+    }
+
+    fn check_freshness(&self) -> Result<(), Refusal> {
+        let now = self.now();
+        let fresh = self.settings.freshness.fresh;
+        let age = self.staleness(now);
+        let behind = self.flags.behind_since().is_some_and(|since| now >= since + fresh);
+        if !behind
+            && (age <= fresh || (age <= self.settings.freshness.stale && self.hears_half(now)))
+        {
+            return Ok(());
+        }
+        let message = format!(
+            "this VM has not confirmed its configuration for {} s; use another address of the \
+             entry response",
+            age.as_secs()
+        );
+        let refusal = Refusal::not_run(RefusalKind::StaleConfiguration, message);
+        Err(refusal.retry_after(Duration::from_secs(1)))
+    }
+
+    async fn claim_key(&self, organisation: &str, key: &str, attempt: u64) -> Claimed {
+        let name: Box<str> = format!("claim/{organisation}/{key}").into();
+        let row = ClaimRow { incarnation: self.me.incarnation, attempt };
+        let Ok(value) = serde_json::to_string(&row) else { return Claimed::Failed };
+        let claim = Transaction {
+            checks: vec![(name.clone(), 0)],
+            puts: vec![(name.clone(), value.into())],
+            deletes: Vec::new(),
+        };
+        match self.platform.table.commit(&claim).await {
+            Ok(_) => row.into(),
+            Err(PlatformError::Conflict { .. } | PlatformError::ReplyLost(_)) => {
+                let read = self.platform.table.read(&name).await;
+                let row = read.ok().flatten();
+                row.and_then(|row| serde_json::from_str::<ClaimRow>(&row.value).ok())
+                    .map_or(Claimed::Failed, Claimed::from)
+            }
+            Err(_) => Claimed::Failed,
+        }
+    }
+}
+
+impl Fleet for FleetView {
+    fn now(&self) -> Uptime {
+        self.0.now()
+    }
+
+    fn me(&self) -> &VmEntry {
+        &self.0.me
+    }
+
+    fn lookup(&self) -> Arc<Lookup> {
+        self.0.lookup.load_full()
+    }
+
+    fn homes(&self, service: &str, region: &str) -> Vec<VmEntry> {
+        self.0.view.load().homes(service, region)
+    }
+
+    fn spill(&self, service: &str, _weight: f64, _bytes: usize) -> Vec<RegionId> {
+        self.0.view.load().other_regions(service, &self.0.me.place.region)
+    }
+
+    fn count_link(&self, _bytes: usize) {}
+
+    fn vm(&self, incarnation: Incarnation) -> Option<VmEntry> {
+        self.0.membership().find(incarnation).cloned()
+    }
+
+    fn uptime_of(&self, incarnation: Incarnation) -> Option<Uptime> {
+        self.0.membership().uptime_of(self.0.now(), incarnation)
+    }
+
+    fn check_fresh(&self) -> Result<(), Refusal> {
+        self.0.check_freshness()
+    }
+
+    fn stopping(&self) -> bool {
+        self.0.flags.stopping()
+    }
+
+    fn admit(&self, organisation: &str) -> Admission {
+        let now = self.0.now();
+        let (admission, actions) = {
+            let mut limiter = self.0.limiter();
+            let admission = limiter.admit(now, organisation);
+            // Asks go out at once when a request waits for them; else the next round sends them.
+            let wait = admission != Admission::Admitted;
+            (admission, if wait { limiter.poll(now) } else { Vec::new() })
+        };
+        self.0.act_limiter(actions);
+        admission
+    }
+
+    fn claim<'a>(
+        &'a self,
+        organisation: &'a str,
+        key: &'a str,
+        attempt: u64,
+    ) -> BoxFuture<'a, Claimed> {
+        Box::pin(self.0.claim_key(organisation, key, attempt))
+    }
+
+    fn open_home(&self, service: &str) -> Result<HomeOptions, Refusal> {
+        let lookup = self.0.lookup.load();
+        let floor = lookup.config.services.get(service).map_or(1.0, |s| s.floor);
+        let context = ServiceContext {
+            service: service.into(),
+            place: self.0.me.place.clone(),
+            vms: self.0.view.load().vms.len(),
+            floor,
+        };
+        let plugins = &self.0.settings.plugins;
+        let fail = |error: kernel::RegistryError| {
+            Refusal::not_run(RefusalKind::NoBackend, error.to_string())
+        };
+        Ok(HomeOptions {
+            detector: build_detector(&plugins.detector, &context).map_err(fail)?,
+            balancer: build_balancer(&plugins.balancer, &context).map_err(fail)?,
+            queue: build_queue(&plugins.queue, &context).map_err(fail)?,
+            seed: self.0.random.next(),
+        })
+    }
+
+    fn random(&self) -> u64 {
+        self.0.random.next()
+    }
+
+    fn record(&self, _record: &RequestRecord) {}
+
+    fn suspected(&self, service: &str, backend: &str, reason: EjectReason, after: Duration) {
+        log::info!("backend server {backend} of {service} is suspect: {reason:?} after {after:?}");
+    }
+
+    fn ejected(&self, service: &str, backend: &str, reason: EjectReason, after: Duration) {
+        log::warn!("backend server {backend} of {service} is ejected: {reason:?} after {after:?}");
+    }
+
+    fn restored(&self, service: &str, backend: &str, falsely: bool) {
+        log::info!("backend server {backend} of {service} takes work again (false: {falsely})");
+    }
+}
--- /dev/null
+++ b/components/node/src/handler.rs
@@ -0,0 +1,53 @@
+use std::sync::Arc;
+
+use futures::future::BoxFuture;
+use kernel::prelude::*;
+use peers::{DeltasReply, Handler, Message, VmReport};
+
+use crate::shared::Shared;
+
+/// Takes the calls of other VMs.
+pub struct PeerHandler(pub Arc<Shared>);
+
+impl Handler for PeerHandler {
+    fn receive(&self, from: Incarnation, message: Message) {
+        let shared = &self.0;
+        let now = shared.now();
+        match message {
+            Message::Membership(message) => {
+                let (version, freshness, address) =
+                    (message.version, message.freshness, message.address);
+                let actions =
+                    shared.random.with(|rng| shared.membership().receive(now, from, message, rng));
+                shared.act_membership(actions);
+                shared.hear_version(version, Some(freshness), address);
+            }
+            Message::Limiter(message) => {
+                let actions = {
+                    let mut limiter = shared.limiter();
+                    limiter.receive(now, from, message);
+                    limiter.poll(now)
+                };
+                shared.act_limiter(actions);
+            }
+            Message::NewVersion(version) => {
+                if let Some(vm) = shared.view.load().vm(from) {
+                    shared.hear_version(version, None, vm.peers);
+                }
+            }
+            Message::Crash(..) | Message::FreeSlots(..) => {}
+        }
+    }
+
+    fn deltas(&self, after: Version) -> BoxFuture<'_, DeltasReply> {
+        let shared = &self.0;
+        Box::pin(async move {
+            DeltasReply { version: shared.version(), deltas: shared.recent.after(after) }
+        })
+    }
+
+    fn report(&self) -> BoxFuture<'_, VmReport> {
+        let shared = Arc::clone(&self.0);
+        Box::pin(async move { shared.report().await })
+    }
+}
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -1,1 +1,18 @@
 //! Starts every part of the daemon and stops it.
+
+mod bus;
+mod clock;
+mod configuration;
+mod flags;
+mod fleet;
+mod handler;
+mod loops;
+mod operators;
+mod random;
+mod recent;
+mod rights;
+mod shared;
+mod start;
+mod view;
+
+pub use start::run;
--- /dev/null
+++ b/components/node/src/recent.rs
@@ -0,0 +1,38 @@
+use std::collections::VecDeque;
+use std::sync::{Mutex, PoisonError};
+
+use config::Delta;
+use kernel::prelude::*;
+
+/// Deltas kept for VMs that are behind. At 11,000 changes a day they cover half an hour.
+const KEPT: usize = 256;
+
+/// The last deltas that this VM has taken over.
+#[derive(Debug, Default)]
+pub struct RecentDeltas {
+    /// In order and without gaps.
+    deltas: Mutex<VecDeque<Delta>>,
+}
+
+impl RecentDeltas {
+    /// Adds a delta; one that does not follow the last clears the others.
+    pub fn add(&self, delta: Delta) {
+        let mut deltas = self.deltas.lock().unwrap_or_else(PoisonError::into_inner);
+        if deltas.back().is_some_and(|last| last.version + 1 != delta.version) {
+            deltas.clear();
+        }
+        deltas.push_back(delta);
+        if deltas.len() > KEPT {
+            deltas.pop_front();
+        }
+    }
+
+    /// The deltas after a version; empty if they do not reach back that far.
+    pub fn after(&self, version: Version) -> Vec<Delta> {
+        let deltas = self.deltas.lock().unwrap_or_else(PoisonError::into_inner);
+        if deltas.front().is_none_or(|first| first.version > version + 1) {
+            return Vec::new();
+        }
+        deltas.iter().filter(|d| d.version > version).cloned().collect()
+    }
+}
--- /dev/null
+++ b/components/node/src/rights.rs
@@ -0,0 +1,155 @@
+use std::sync::Arc;
+
+use kernel::prelude::*;
+use tokio::sync::mpsc;
+
+use crate::shared::Shared;
+
+/// Kind of the rights to an organisation's rate.
+pub const RATE: &str = "rate";
+/// Kind of the rights to eject backend servers of a service.
+pub const EJECT: &str = "eject";
+
+/// Asks for another number of units of an organisation's rate.
+#[derive(Debug)]
+pub enum ClaimRequest {
+    /// Hold this many units in all.
+    Claim(OrganisationId, u32),
+    /// Keep this many units at most.
+    Release(OrganisationId, u32),
+}
+
+impl Shared {
+    /// Renews the session and gives the limiter what is held.
+    async fn renew_session(self: &Arc<Self>) {
+        let mut holder = self.holder.lock().await;
+        match holder.renew().await {
+            Ok(renewal) => {
+                if renewal.lapsed {
+                    log::warn!("the session had lapsed; rights are claimed again");
+                }
+                let now = self.now();
+                let mut limiter = self.limiter();
+                for (kind, id, held) in holder.held() {
+                    if &*kind == RATE {
+                        limiter.set_units(now, &id, held.units, held.total, held.until, false);
+                    }
+                }
+            }
+            Err(error) => log::warn!("the session was not renewed: {error}"),
+        }
+    }
+
+    /// Keeps the session and the budgets of ejections.
+    pub async fn keep_rights(self: &Arc<Self>) {
+        let mut renewed = None;
+        loop {
+            let now = self.now();
+            let due = renewed.is_none_or(|at| now >= at + self.settings.session.renew);
+            if due {
+                renewed = Some(now);
+                self.renew_session().await;
+            }
+            self.keep_ejections().await;
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        }
+    }
+
+    /// Claims rights to eject for the services that this VM is home of, and sets the budgets.
+    async fn keep_ejections(self: &Arc<Self>) {
+        let Some(engine) = self.engine() else { return };
+        let lookup = self.lookup.load_full();
+        let view = self.view.load_full();
+        let region = &self.me.place.region;
+        for (id, home) in engine.homes() {
+            let Some(service) = lookup.config.services.get(&id) else { continue };
+            let all = service.backends.len();
+            let local = service.backends.iter().filter(|b| b.place.region == *region);
+            let local_all = local.clone().count();
+            let draining = local.filter(|b| b.draining).count();
+            let floor = (service.floor * all as f64).ceil() as usize;
+            let total = all.saturating_sub(floor);
+            // Regions get rights in proportion to their backend servers, so that the home of one
+            // region cannot take them all.
+            let share = (total * local_all).checked_div(all).unwrap_or(0);
+            let is_home = view
+                .homes(&id, region)
+                .first()
+                .is_some_and(|vm| vm.incarnation == self.me.incarnation);
+            let want = if is_home { share } else { 0 };
+            let mut holder = self.holder.lock().await;
+            let held = holder
+                .held()
+                .into_iter()
+                .find(|(kind, name, _)| &**kind == EJECT && *name == id)
+                .map_or(0, |(_, _, held)| held.units);
+            let (want, total) = (to_units(want), to_units(total));
+            if want < held {
+                home.set_budget((want as usize).saturating_sub(draining));
+                if let Err(error) = holder.release(EJECT, &id, want).await {
+                    log::debug!("rights to eject of {id} are still to be released: {error}");
+                }
+                continue;
+            }
+            let mut units = held;
+            if want > held {
+                match holder.claim(EJECT, &id, want, total, want).await {
+                    Ok(claimed) => units = claimed.units,
+                    Err(error) => log::debug!("no rights to eject of {id}: {error}"),
+                }
+            }
+            home.set_budget((units as usize).saturating_sub(draining));
+        }
+    }
+
+    /// Claims and releases units of rates as the limiter asks for them.
+    pub async fn keep_rates(self: &Arc<Self>, mut claims: mpsc::UnboundedReceiver<ClaimRequest>) {
+        while let Some(request) = claims.recv().await {
+            match request {
+                ClaimRequest::Claim(organisation, units) => {
+                    self.claim_rate(organisation, units).await;
+                }
+                ClaimRequest::Release(organisation, units) => {
+                    self.release_rate(organisation, units).await;
+                }
+            }
+        }
+    }
+
+    async fn claim_rate(self: &Arc<Self>, organisation: OrganisationId, units: u32) {
+        let total = limiter::RATE_UNITS;
+        let claimed =
+            self.holder.lock().await.claim(RATE, &organisation, units, total, total).await;
+        match claimed {
+            Ok(held) => {
+                let now = self.now();
+                self.limiter().set_units(
+                    now,
+                    &organisation,
+                    held.units,
+                    held.total,
+                    held.until,
+                    held.fresh,
+                );
+            }
+            Err(error) => log::debug!("no units of the rate of {organisation}: {error}"),
+        }
+    }
+
+    async fn release_rate(self: &Arc<Self>, organisation: OrganisationId, units: u32) {
+        let mut holder = self.holder.lock().await;
+        if let Err(error) = holder.release(RATE, &organisation, units).await {
+            // The holder keeps the units unused and repeats the write with the next renewal.
+            log::debug!("units of the rate of {organisation} are still to be released: {error}");
+        }
+        let kept = holder.held().into_iter().find(|(k, id, _)| &**k == RATE && *id == organisation);
+        let now = self.now();
+        let (units, until) = kept.map_or((0, now), |(_, _, held)| (held.units, held.until));
+        let total = limiter::RATE_UNITS;
+        self.limiter().set_units(now, &organisation, units, total, until, false);
+    }
+}
+
+fn to_units(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/components/node/src/shared.rs
@@ -0,0 +1,137 @@
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+
+use arc_swap::ArcSwap;
+use config::{ConfigStore, FleetConfig, Lookup};
+use kernel::prelude::*;
+use kernel::{Limiter, Platform, VmEntry, VmState};
+use membership::Membership;
+use peers::Peers;
+use proxy::Engine;
+use rights::Holder;
+use settings::Settings;
+use tokio::sync::mpsc;
+
+use crate::clock::Clock;
+use crate::flags::Flags;
+use crate::random::{Random, new_incarnation};
+use crate::recent::RecentDeltas;
+use crate::rights::ClaimRequest;
+use crate::view::View;
+
+/// State of one VM that its tasks share.
+pub struct Shared {
+    /// Settings.
+    pub settings: Settings,
+    /// Clock.
+    pub clock: Clock,
+    /// Generator of random numbers.
+    pub random: Arc<Random>,
+    /// This VM.
+    pub me: VmEntry,
+    /// Small facts.
+    pub flags: Flags,
+    /// Configuration in force. Its version never goes down.
+    pub lookup: ArcSwap<Lookup>,
+    /// Deltas for VMs that are behind.
+    pub recent: RecentDeltas,
+    /// VMs taken for live.
+    pub view: ArcSwap<View>,
+    /// Platform.
+    pub platform: Platform,
+    /// Configuration in the platform.
+    pub store: ConfigStore,
+    /// Connections to the other VMs.
+    pub peers: Peers,
+    /// Rights held under this VM's session.
+    pub holder: tokio::sync::Mutex<Holder>,
+    /// Requests for more units of a right.
+    pub claims: mpsc::UnboundedSender<ClaimRequest>,
+    /// Serializes changes of the configuration in force.
+    pub install: tokio::sync::Mutex<()>,
+    membership: Mutex<Membership>,
+    limiter: Mutex<Box<dyn Limiter>>,
+    engine: OnceLock<Arc<Engine>>,
+}
+
+impl Shared {
+    /// State of a VM that has just started.
+    pub fn new(
+        settings: Settings,
+        platform: Platform,
+        limiter: impl FnOnce(Incarnation) -> Result<Box<dyn Limiter>, kernel::RegistryError>,
+        claims: mpsc::UnboundedSender<ClaimRequest>,
+    ) -> Result<Arc<Self>, kernel::RegistryError> {
+        let clock = Clock::start();
+        let random = Arc::new(Random::new(settings.seed));
+        let me = VmEntry {
+            vm: settings.vm.clone(),
+            incarnation: new_incarnation(),
+            place: settings.place.clone(),
+            callers: settings.listen.callers,
+            peers: settings.listen.peers,
+            state: VmState::Live,
+        };
+        let source = Arc::clone(&random);
+        let secret: Box<[u8]> = settings.secrets.fleet.reveal().as_bytes().into();
+        let peers = Peers::new(me.incarnation, secret, Arc::new(move || source.next()));
+        let table = Arc::clone(&platform.table);
+        let lease = settings.session.lease;
+        let holder = Holder::new(table, me.incarnation, lease, Arc::new(move || clock.now()));
+        let store = ConfigStore::new(Arc::clone(&platform.table), Arc::clone(&platform.objects));
+        let empty = Lookup::new(Arc::new(FleetConfig::default()));
+        Ok(Arc::new(Shared {
+            limiter: Mutex::new(limiter(me.incarnation)?),
+            membership: Mutex::new(Membership::new(clock.now(), me.clone())),
+            view: ArcSwap::from_pointee(View::new(vec![me.clone()])),
+            lookup: ArcSwap::from_pointee(empty),
+            holder: tokio::sync::Mutex::new(holder),
+            install: tokio::sync::Mutex::default(),
+            flags: Flags::default(),
+            recent: RecentDeltas::default(),
+            engine: OnceLock::new(),
+            settings,
+            clock,
+            random,
+            me,
+            platform,
+            store,
+            peers,
+            claims,
+        }))
+    }
+
+    /// Time since the start of the process.
+    pub fn now(&self) -> Uptime {
+        self.clock.now()
+    }
+
+    /// Version in force.
+    pub fn version(&self) -> Version {
+        self.lookup.load().config.version
+    }
+
+    /// The failure detector.
+    pub fn membership(&self) -> MutexGuard<'_, Membership> {
+        self.membership.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The rate limiter.
+    pub fn limiter(&self) -> MutexGuard<'_, Box<dyn Limiter>> {
+        self.limiter.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The request path; none until it is set.
+    pub fn engine(&self) -> Option<&Arc<Engine>> {
+        self.engine.get()
+    }
+
+    /// Sets the request path. Only the first call has an effect.
+    pub fn set_engine(&self, engine: Arc<Engine>) {
+        let _ = self.engine.set(engine);
+    }
+
+    /// Notes whether the platform's table answered.
+    pub fn note_store(&self, answered: bool) {
+        self.flags.set_store_away(!answered);
+    }
+}
--- /dev/null
+++ b/components/node/src/start.rs
@@ -0,0 +1,134 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use anyhow::Context;
+use kernel::{PlatformContext, VmContext, build_limiter, build_platform};
+use proxy::{Engine, EngineOptions, ServerOptions};
+use settings::Settings;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use crate::fleet::FleetView;
+use crate::handler::PeerHandler;
+use crate::operators::OperatorBackend;
+use crate::shared::Shared;
+
+// The crates of the plug-ins are linked because they are named here.
+use balancer as _;
+use detector as _;
+use limiter as _;
+use platform as _;
+use queue as _;
+
+async fn listen(address: SocketAddr, what: &str) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("cannot listen for {what} on {address}; choose a free address"))
+}
+
+fn build(settings: Settings) -> anyhow::Result<Arc<Shared>> {
+    let context =
+        PlatformContext { address: settings.platform.address, timeout: settings.platform.timeout };
+    let platform = build_platform(&settings.platform.adapter, &context)?;
+    let (claims, requests) = mpsc::unbounded_channel();
+    let name = settings.plugins.limiter.clone();
+    let limiter = |incarnation| build_limiter(&name, &VmContext { incarnation, vms: 1 });
+    let shared = Shared::new(settings, platform, limiter, claims)?;
+    let rates = Arc::clone(&shared);
+    tokio::spawn(async move { rates.keep_rates(requests).await });
+    Ok(shared)
+}
+
+fn engine(shared: &Arc<Shared>) -> Arc<Engine> {
+    let settings = &shared.settings;
+    let options = EngineOptions {
+        secret: settings.secrets.fleet.reveal().as_bytes().into(),
+        body_bytes: settings.limits.body_bytes,
+        body_timeout: settings.limits.head_timeout,
+        entry_ttl: settings.entry.ttl,
+        entry_count: settings.entry.homes,
+    };
+    Engine::new(Arc::new(FleetView(Arc::clone(shared))), options)
+}
+
+/// Runs the daemon until SIGTERM or SIGINT, then stops it gracefully.
+pub async fn run(settings: Settings) -> anyhow::Result<()> {
+    let callers = listen(settings.listen.callers, "callers").await?;
+    let peers = listen(settings.listen.peers, "other VMs").await?;
+    let operators = listen(settings.listen.operators, "operators").await?;
+    let shared = build(settings)?;
+    let stop = CancellationToken::new();
+    serve_peers(&shared, peers, &stop);
+    spawn_loops(&shared);
+    shared.first_configuration().await;
+    let engine = engine(&shared);
+    shared.set_engine(Arc::clone(&engine));
+    let poll = Arc::clone(&shared);
+    tokio::spawn(async move { poll.poll_configuration().await });
+    serve_operators(&shared, operators, &stop);
+    let limits = &shared.settings.limits;
+    let options = ServerOptions {
+        head_bytes: limits.head_bytes,
+        head_timeout: limits.head_timeout,
+        connections: limits.connections,
+    };
+    let serve = tokio::spawn(proxy::serve(callers, engine, options, stop.clone()));
+    log::info!("VM {} serves callers on {}", shared.me.vm, shared.me.callers);
+    wait_for_signal().await?;
+    log::info!("VM {} stops", shared.me.vm);
+    shared.leave().await;
+    // Callers may use this VM for as long as they may keep the entry responses that name it.
+    tokio::time::sleep(shared.settings.drain).await;
+    stop.cancel();
+    serve.await.context("the server for callers failed")?;
+    if let Err(error) = shared.holder.lock().await.release_all().await {
+        log::warn!("rights were not released and are lost until the session lapses: {error}");
+    }
+    Ok(())
+}
+
+fn serve_peers(shared: &Arc<Shared>, listener: TcpListener, stop: &CancellationToken) {
+    let secret: Arc<[u8]> = shared.settings.secrets.fleet.reveal().as_bytes().into();
+    let random = Arc::clone(&shared.random);
+    let handler = Arc::new(PeerHandler(Arc::clone(shared)));
+    let random: peers::Random = Arc::new(move || random.next());
+    tokio::spawn(peers::serve(listener, secret, random, handler, stop.clone()));
+}
+
+fn serve_operators(shared: &Arc<Shared>, listener: TcpListener, stop: &CancellationToken) {
+    let tokens: Vec<Box<str>> =
+        shared.settings.secrets.operator_tokens.iter().map(|t| t.reveal().into()).collect();
+    let backend = Arc::new(OperatorBackend(Arc::clone(shared)));
+    let stop = stop.clone();
+    tokio::spawn(async move {
+        let stopped = async move { stop.cancelled().await };
+        if let Err(error) = operator::serve(listener, backend, tokens.into(), stopped).await {
+            log::error!("operators are not served any more: {error}");
+        }
+    });
+}
+
+fn spawn_loops(shared: &Arc<Shared>) {
+    let membership = Arc::clone(shared);
+    tokio::spawn(async move { membership.run_membership().await });
+    let list = Arc::clone(shared);
+    tokio::spawn(async move { list.run_list().await });
+    let limiter = Arc::clone(shared);
+    tokio::spawn(async move { limiter.run_limiter().await });
+    let homes = Arc::clone(shared);
+    tokio::spawn(async move { homes.run_homes().await });
+    let rights = Arc::clone(shared);
+    tokio::spawn(async move { rights.keep_rights().await });
+}
+
+async fn wait_for_signal() -> anyhow::Result<()> {
+    let mut term = signal(SignalKind::terminate()).context("cannot wait for SIGTERM")?;
+    let mut int = signal(SignalKind::interrupt()).context("cannot wait for SIGINT")?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    Ok(())
+}
