Add the operators interface: schema, generated code, gRPC server and client

Operators apply change sets, read the configuration in parts below the 4 MB that gRPC libraries take by default, read the status of the fleet and ask for explanations. Errors carry their kind in grpc-status-details-bin, so that the client tells a change that was not made from one whose outcome is not known; the latter is asked for again with the same change id.

--- /dev/null
+++ b/components/operator/tests/suite/fleet.rs
@@ -0,0 +1,144 @@
+//! A fleet of one VM in memory behind the gRPC server.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use config::{ChangeSet, FleetConfig, apply};
+use futures::future::BoxFuture;
+use kernel::{EjectReason, Place};
+use operator::{
+    Applied, Backend, Ejection, ExplainQuery, ExplainStep, Explanation, OperatorError, RateShare,
+    RateShares, Status, StatusQuery, Tokens, VmLife, VmStatus, serve,
+};
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+
+/// Token that the server knows.
+pub const TOKEN: &str = "token-of-the-operator";
+
+/// What the fleet holds.
+#[derive(Default)]
+pub struct Fleet {
+    config: Mutex<Arc<FleetConfig>>,
+    applied: Mutex<Vec<(Box<str>, u64)>>,
+    /// The next answers to `apply`; the change is made all the same.
+    pub failures: Mutex<Vec<OperatorError>>,
+}
+
+impl Backend for Fleet {
+    fn apply(&self, set: ChangeSet) -> BoxFuture<'_, Result<Applied, OperatorError>> {
+        Box::pin(async move {
+            let mut applied = self.applied.lock().unwrap();
+            if let Some((_, version)) = applied.iter().find(|(id, _)| *id == set.change_id) {
+                return Ok(Applied { version: *version, repeated: true });
+            }
+            let mut held = self.config.lock().unwrap();
+            let (config, delta) = apply(&held, &set)?;
+            *held = Arc::new(config);
+            applied.push((set.change_id, delta.version));
+            match self.failures.lock().unwrap().pop() {
+                Some(error) => Err(error),
+                None => Ok(Applied { version: delta.version, repeated: false }),
+            }
+        })
+    }
+
+    fn config(&self) -> BoxFuture<'_, Result<Arc<FleetConfig>, OperatorError>> {
+        Box::pin(async { Ok(self.config.lock().unwrap().clone()) })
+    }
+
+    fn status(&self, query: StatusQuery) -> BoxFuture<'_, Result<Status, OperatorError>> {
+        Box::pin(async move { Ok(status(&query)) })
+    }
+
+    fn explain(&self, query: ExplainQuery) -> BoxFuture<'_, Result<Explanation, OperatorError>> {
+        Box::pin(async move {
+            match query {
+                ExplainQuery::Request(id) => {
+                    let text = format!("no request {id}; ask the VM that took it");
+                    Err(OperatorError::NotFound(text.into()))
+                }
+                ExplainQuery::Probe { .. } => Ok(explanation()),
+            }
+        })
+    }
+}
+
+/// A status with every field set.
+pub fn status(query: &StatusQuery) -> Status {
+    let vm = |vm: &str, life, freshness| VmStatus {
+        vm: vm.into(),
+        place: Place { region: "dakar".into(), domain: "dakar-rufisque".into() },
+        incarnation: u64::MAX,
+        life,
+        version: 7,
+        freshness,
+    };
+    let share = |vm: Option<&str>| RateShare { incarnation: 9, vm: vm.map(Into::into), units: 4 };
+    let rate = |organisation: &str| RateShares {
+        organisation: organisation.into(),
+        total: 16,
+        shares: vec![share(Some("vm-1")), share(None)],
+    };
+    Status {
+        vm: "vm-1".into(),
+        version: 7,
+        store_reachable: true,
+        vms: vec![
+            vm("vm-1", VmLife::Live, Some(Duration::from_millis(1500))),
+            vm("vm-2", VmLife::Leaving, Some(Duration::ZERO)),
+            vm("vm-3", VmLife::Silent, None),
+        ],
+        ejections: vec![Ejection {
+            service: "stock-svc".into(),
+            backend: "b1".into(),
+            reason: EjectReason::Slow,
+            since: Duration::from_secs(90),
+            vm: "vm-2".into(),
+        }],
+        rates: query.organisations.iter().map(|o| rate(o)).collect(),
+    }
+}
+
+/// An explanation with every field set.
+pub fn explanation() -> Explanation {
+    let step = |after| ExplainStep { after, vm: "vm-1".into(), text: "sent to b1".into() };
+    Explanation {
+        route: Some("read".into()),
+        service: None,
+        outcome: "answered".into(),
+        steps: vec![step(Some(Duration::from_micros(1234))), step(None)],
+    }
+}
+
+/// A running server.
+pub struct Running {
+    /// Its address.
+    pub address: SocketAddr,
+    /// What it serves.
+    pub fleet: Arc<Fleet>,
+    stop: oneshot::Sender<()>,
+    task: JoinHandle<()>,
+}
+
+impl Running {
+    /// Starts a server on a free port of the loopback interface.
+    pub async fn start() -> Running {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let fleet = Arc::new(Fleet::default());
+        let (stop, stopped) = oneshot::channel::<()>();
+        let tokens = Tokens::new([TOKEN]).unwrap();
+        let served = serve(listener, fleet.clone(), tokens, async { drop(stopped.await) });
+        let task = tokio::spawn(async { served.await.unwrap() });
+        Running { address, fleet, stop, task }
+    }
+
+    /// Stops the server and waits for its end.
+    pub async fn stop(self) {
+        self.stop.send(()).unwrap();
+        self.task.await.unwrap();
+    }
+}
