Add the stand-ins for the platform and for backend servers

Tests and experiments need a platform and backend servers whose faults can be switched. The platform stand-in serves the table, the objects and the list of VMs with a budget, outages, slow answers, lost replies and a lagging list. The backend server stand-in has slots, a queue, drain, cold start, deadlines, cancellation, a switch for each gray failure, and tells what it received. POST /control changes switches, for a time if asked.

--- a/tools/standins/src/lib.rs
+++ b/tools/standins/src/lib.rs
@@ -1,1 +1,12 @@
 //! Stand-ins for the platform and for backend servers; not shipped.
+
+/// Stand-in for a backend server with switchable gray failures.
+pub mod backend;
+mod door;
+/// Stand-in for the platform's table, object store and list of VMs.
+pub mod platform;
+mod reply;
+mod server;
+mod switch;
+
+pub use server::Server;
--- /dev/null
+++ b/tools/standins/src/switch.rs
@@ -0,0 +1,34 @@
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::{Map, Value};
+
+/// Replaces the fields of `switches` that `patch` names; returns their former values.
+pub(crate) fn apply<T: Serialize + DeserializeOwned>(
+    switches: &mut T,
+    patch: Map<String, Value>,
+) -> Result<Map<String, Value>, String> {
+    let text = |error: serde_json::Error| error.to_string();
+    let mut fields = match serde_json::to_value(&*switches).map_err(text)? {
+        Value::Object(fields) => fields,
+        _ => return Err("the switches are no JSON object".to_owned()),
+    };
+    let mut former = Map::new();
+    for (name, value) in patch {
+        let Some(field) = fields.get_mut(&name) else {
+            let known: Vec<&str> = fields.keys().map(String::as_str).collect();
+            return Err(format!("no switch is named {name:?}; choose of {}", known.join(", ")));
+        };
+        former.insert(name, std::mem::replace(field, value));
+    }
+    *switches = serde_json::from_value(Value::Object(fields)).map_err(text)?;
+    Ok(former)
+}
+
+/// Takes the field of an action out of a patch.
+pub(crate) fn take<T: DeserializeOwned>(
+    patch: &mut Map<String, Value>,
+    name: &str,
+) -> Result<Option<T>, String> {
+    let value = patch.remove(name).map(serde_json::from_value).transpose();
+    value.map_err(|error| format!("{name}: {error}"))
+}
