Start the daemon and serve operators

Cause: the parts were not assembled into a program.

Change: papayareeld checks its settings, starts the worker threads and runs until SIGTERM; operators are served once the first configuration is there.

Result: the workspace compiles without lints; not run yet.

--- a/components/membership/src/view.rs
+++ b/components/membership/src/view.rs
@@ -20,6 +20,15 @@
         self.members.get(&incarnation).filter(|m| m.status != Status::Dead).map(|m| &m.entry)
     }
 
+    /// Time since the start of an incarnation. Messages take time, so that it is rather too short.
+    pub fn uptime_of(&self, now: Uptime, incarnation: Incarnation) -> Option<Uptime> {
+        if incarnation == self.own.incarnation {
+            return Some(now);
+        }
+        let started = self.members.get(&incarnation)?.started?;
+        Duration::try_from_secs_f64(now.as_secs_f64() - started).ok()
+    }
+
     /// What is known of an incarnation; none if it is unknown.
     pub fn status(&self, incarnation: Incarnation) -> Option<Status> {
         let buried = self.buried.contains_key(&incarnation).then_some(Status::Dead);
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -15,4 +15,4 @@
 mod start;
 mod view;
 
-pub use start::run;
+pub use start::{run, start};
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -53,6 +53,16 @@
     Engine::new(Arc::new(FleetView(Arc::clone(shared))), options)
 }
 
+/// Starts the runtime with the worker threads of the settings and runs the daemon.
+pub fn start(settings: Settings) -> anyhow::Result<()> {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.threads)
+        .enable_all()
+        .build()
+        .context("cannot start the worker threads; check the setting threads")?
+        .block_on(run(settings))
+}
+
 /// Runs the daemon until SIGTERM or SIGINT, then stops it gracefully.
 pub async fn run(settings: Settings) -> anyhow::Result<()> {
     let callers = listen(settings.listen.callers, "callers").await?;
@@ -67,7 +77,7 @@
     shared.set_engine(Arc::clone(&engine));
     let poll = Arc::clone(&shared);
     tokio::spawn(async move { poll.poll_configuration().await });
-    serve_operators(&shared, operators, &stop);
+    serve_operators(&shared, operators, &stop)?;
     let limits = &shared.settings.limits;
     let options = ServerOptions {
         head_bytes: limits.head_bytes,
@@ -97,17 +107,22 @@
     tokio::spawn(peers::serve(listener, secret, random, handler, stop.clone()));
 }
 
-fn serve_operators(shared: &Arc<Shared>, listener: TcpListener, stop: &CancellationToken) {
-    let tokens: Vec<Box<str>> =
-        shared.settings.secrets.operator_tokens.iter().map(|t| t.reveal().into()).collect();
+fn serve_operators(
+    shared: &Arc<Shared>,
+    listener: TcpListener,
+    stop: &CancellationToken,
+) -> anyhow::Result<()> {
+    let tokens = shared.settings.secrets.operator_tokens.iter().map(|t| t.reveal());
+    let tokens = operator::Tokens::new(tokens)?;
     let backend = Arc::new(OperatorBackend(Arc::clone(shared)));
     let stop = stop.clone();
     tokio::spawn(async move {
         let stopped = async move { stop.cancelled().await };
-        if let Err(error) = operator::serve(listener, backend, tokens.into(), stopped).await {
+        if let Err(error) = operator::serve(listener, backend, tokens, stopped).await {
             log::error!("operators are not served any more: {error}");
         }
     });
+    Ok(())
 }
 
 fn spawn_loops(shared: &Arc<Shared>) {
--- a/src/bin/papayareeld.rs
+++ b/src/bin/papayareeld.rs
@@ -1,3 +1,38 @@
-//! The daemon.
+//! The daemon: one VM of the fleet.
 
-fn main() {}
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use settings::Settings;
+
+/// One VM of the papayareel fleet.
+#[derive(FromArgs)]
+struct Args {
+    /// check the settings file and exit
+    #[argh(switch)]
+    check: bool,
+
+    /// settings file (JSON)
+    #[argh(positional)]
+    settings: PathBuf,
+}
+
+fn run(args: &Args) -> anyhow::Result<()> {
+    let settings = Settings::load(&args.settings)?;
+    if args.check {
+        println!("{} is valid", args.settings.display());
+        return Ok(());
+    }
+    node::start(settings)
+}
+
+fn main() -> ExitCode {
+    match run(&argh::from_env()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("papayareeld: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
