Add the harness and the demo: the complete path in separate processes

Cause: nothing showed that a request passes through the fleet end to end.

Change: the harness starts the platform, backend servers and VMs as processes on loopback; the demo sets up organisations, keys, routes and rates through the operators' interface, sends traffic, stalls one backend server and reports.

--- a/components/kernel/src/detector.rs
+++ b/components/kernel/src/detector.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use rand::RngCore;
+use serde::{Deserialize, Serialize};
 
 use crate::{BackendId, BackendSpec, Standing, Uptime};
 
@@ -93,7 +94,8 @@
 }
 
 /// Why a backend server was ejected.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum EjectReason {
     /// Requests stay unanswered.
     Stalled,
--- a/components/node/src/fleet.rs
+++ b/components/node/src/fleet.rs
@@ -185,10 +185,12 @@
     }
 
     fn ejected(&self, service: &str, backend: &str, reason: EjectReason, after: Duration) {
+        self.0.set_ejected(service, backend, Some(reason));
         log::warn!("backend server {backend} of {service} is ejected: {reason:?} after {after:?}");
     }
 
     fn restored(&self, service: &str, backend: &str, falsely: bool) {
+        self.0.set_ejected(service, backend, None);
         log::info!("backend server {backend} of {service} takes work again (false: {falsely})");
     }
 }
--- a/components/node/src/operators.rs
+++ b/components/node/src/operators.rs
@@ -5,8 +5,8 @@
 use kernel::VmState;
 use kernel::prelude::*;
 use operator::{
-    Applied, Backend, ExplainQuery, Explanation, OperatorError, Status, StatusQuery, VmLife,
-    VmStatus,
+    Applied, Backend, Ejection, ExplainQuery, Explanation, OperatorError, Status, StatusQuery,
+    VmLife, VmStatus,
 };
 use peers::VmReport;
 
@@ -25,7 +25,7 @@
             place: self.me.place.clone(),
             version: self.version(),
             fresh_ms: u64::try_from(self.staleness(self.now()).as_millis()).unwrap_or(u64::MAX),
-            ejected: Vec::new(),
+            ejected: self.ejections(),
             units: held.into_iter().map(|(kind, id, held)| (kind, id, held.units)).collect(),
         }
     }
@@ -72,6 +72,18 @@
         let asked = others.map(|vm| async move { (vm.clone(), self.peers.report(vm.peers).await) });
         let mut reports = join_all(asked).await;
         reports.push((self.me.clone(), Ok(self.report().await)));
+        let reported = reports.iter().filter_map(|(_, report)| report.as_ref().ok());
+        let ejections = reported
+            .flat_map(|report| {
+                report.ejected.iter().map(|ejected| Ejection {
+                    service: ejected.service.clone(),
+                    backend: ejected.backend.clone(),
+                    reason: ejected.reason,
+                    since: Duration::from_millis(ejected.since_ms),
+                    vm: report.vm.clone(),
+                })
+            })
+            .collect();
         let mut vms: Vec<VmStatus> = reports
             .into_iter()
             .map(|(vm, report)| {
@@ -97,7 +109,7 @@
             version: self.version(),
             store_reachable: !self.flags.store_away(),
             vms,
-            ejections: Vec::new(),
+            ejections,
             rates: Vec::new(),
         }
     }
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -1,11 +1,12 @@
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use arc_swap::ArcSwap;
 use config::{ConfigStore, FleetConfig, Lookup};
 use kernel::prelude::*;
-use kernel::{Limiter, Platform, VmEntry, VmState};
+use kernel::{EjectReason, Limiter, Platform, VmEntry, VmState};
 use membership::Membership;
-use peers::Peers;
+use peers::{EjectReport, Peers};
 use proxy::Engine;
 use rights::Holder;
 use settings::Settings;
@@ -48,6 +49,8 @@
     pub claims: mpsc::UnboundedSender<ClaimRequest>,
     /// Serializes changes of the configuration in force.
     pub install: tokio::sync::Mutex<()>,
+    /// Backend servers that this VM holds ejected, with the reason and the time.
+    ejected: Mutex<HashMap<(ServiceId, BackendId), (EjectReason, Uptime)>>,
     membership: Mutex<Membership>,
     limiter: Mutex<Box<dyn Limiter>>,
     engine: OnceLock<Arc<Engine>>,
@@ -86,6 +89,7 @@
             lookup: ArcSwap::from_pointee(empty),
             holder: tokio::sync::Mutex::new(holder),
             install: tokio::sync::Mutex::default(),
+            ejected: Mutex::default(),
             flags: Flags::default(),
             recent: RecentDeltas::default(),
             engine: OnceLock::new(),
@@ -130,6 +134,31 @@
         let _ = self.engine.set(engine);
     }
 
+    /// Notes that this VM holds a backend server ejected, or holds it no more.
+    pub fn set_ejected(&self, service: &str, backend: &str, reason: Option<EjectReason>) {
+        let mut ejected = self.ejected.lock().unwrap_or_else(PoisonError::into_inner);
+        let key = (service.into(), backend.into());
+        match reason {
+            Some(reason) => drop(ejected.insert(key, (reason, self.now()))),
+            None => drop(ejected.remove(&key)),
+        }
+    }
+
+    /// Backend servers that this VM holds ejected.
+    pub fn ejections(&self) -> Vec<EjectReport> {
+        let now = self.now();
+        let ejected = self.ejected.lock().unwrap_or_else(PoisonError::into_inner);
+        ejected
+            .iter()
+            .map(|((service, backend), (reason, at))| EjectReport {
+                service: service.clone(),
+                backend: backend.clone(),
+                reason: *reason,
+                since_ms: u64::try_from(now.saturating_sub(*at).as_millis()).unwrap_or(u64::MAX),
+            })
+            .collect()
+    }
+
     /// Notes whether the platform's table answered.
     pub fn note_store(&self, answered: bool) {
         self.flags.set_store_away(!answered);
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -10,4 +10,4 @@
 pub use handshake::{HandshakeError, Random};
 pub use message::{Message, MessageError, Parcel, RawMessage};
 pub use server::{Handler, serve};
-pub use service::{DeltasReply, VmReport};
+pub use service::{DeltasReply, EjectReport, VmReport};
--- a/components/peers/src/service.rs
+++ b/components/peers/src/service.rs
@@ -1,4 +1,5 @@
 use config::Delta;
+use kernel::EjectReason;
 use kernel::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -13,6 +14,19 @@
     pub deltas: Vec<Delta>,
 }
 
+/// A backend server that a VM holds ejected.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct EjectReport {
+    /// Service.
+    pub service: ServiceId,
+    /// Backend server.
+    pub backend: BackendId,
+    /// Reason.
+    pub reason: EjectReason,
+    /// Milliseconds since the ejection.
+    pub since_ms: u64,
+}
+
 /// What a VM reports of itself to operators.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct VmReport {
@@ -26,8 +40,8 @@
     pub version: Version,
     /// Milliseconds since the version was confirmed to be the newest.
     pub fresh_ms: u64,
-    /// Ejected backend servers: service, backend server, reason, seconds since.
-    pub ejected: Vec<(ServiceId, BackendId, Box<str>, u64)>,
+    /// Backend servers that the VM holds ejected.
+    pub ejected: Vec<EjectReport>,
     /// Units of rights held, by kind and id.
     pub units: Vec<(Box<str>, Box<str>, u32)>,
 }
--- /dev/null
+++ b/tools/demo/src/desired.rs
@@ -0,0 +1,49 @@
+use std::time::Duration;
+
+use config::{Change, Organisation, Route, Service, digest_key};
+use harness::Fleet;
+use kernel::prelude::*;
+
+/// Organisations of the demo with their rates. The last one sends several times its rate.
+pub const ORGANISATIONS: &[(&str, f64)] =
+    &[("radio-umea", 200.0), ("radio-malmo", 200.0), ("radio-kiruna", 100.0), ("radio-loud", 20.0)];
+/// Services: the first is read, the second is written.
+pub const SERVICES: &[(&str, bool)] = &[("manus", true), ("sandning", false)];
+
+/// The key of an organisation of the demo.
+pub fn key_of(organisation: &str) -> String {
+    format!("demo-key-of-{organisation}")
+}
+
+/// The changes that set the demo up.
+pub fn changes(fleet: &Fleet) -> Vec<Change> {
+    let mut changes = Vec::new();
+    for (service, idempotent) in SERVICES {
+        let backends = fleet.specs(service);
+        let id = ServiceId::from(*service);
+        changes
+            .push(Change::PutService { id: id.clone(), service: Service { floor: 0.6, backends } });
+        let route = Route {
+            prefix: format!("/{service}").into(),
+            methods: Vec::new(),
+            service: id,
+            open: false,
+            idempotent: *idempotent,
+            weight: 1.0,
+            deadline: Duration::from_secs(3),
+            organisations: Vec::new(),
+        };
+        changes.push(Change::PutRoute { id: (*service).into(), route });
+    }
+    for (organisation, rate) in ORGANISATIONS {
+        let id = OrganisationId::from(*organisation);
+        let rate = Rate { per_second: *rate, burst: *rate };
+        let organisation = Organisation { rate, weight: 1.0 };
+        changes.push(Change::PutOrganisation { id: id.clone(), organisation });
+        changes.push(Change::IssueKey {
+            digest: digest_key(key_of(&id).as_bytes()),
+            organisation: id,
+        });
+    }
+    changes
+}
--- a/tools/demo/src/main.rs
+++ b/tools/demo/src/main.rs
@@ -1,3 +1,57 @@
-//! Placeholder entry point.
+//! Starts a small fleet on loopback, makes one backend server gray and prints what happened.
 
-fn main() {}
+mod desired;
+mod parts;
+mod report;
+mod scene;
+mod traffic;
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+/// Starts a small fleet on loopback, makes one backend server gray and prints what happened.
+#[derive(FromArgs)]
+struct Args {
+    /// print JSON in place of text
+    #[argh(switch)]
+    json: bool,
+}
+
+async fn run(json: bool) -> anyhow::Result<ExitCode> {
+    let report = scene::run().await?;
+    if json {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    } else {
+        report.print();
+    }
+    Ok(if report.wrong == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn main() -> ExitCode {
+    // The demo starts itself again for its parts, so that it needs no other program.
+    if let Some(result) = parts::run_part() {
+        return match result {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("demo part: {error:#}");
+                ExitCode::FAILURE
+            }
+        };
+    }
+    let args: Args = argh::from_env();
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("demo: cannot start the worker threads: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(run(args.json)) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("demo: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/tools/harness/src/caller.rs
@@ -0,0 +1,105 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::Context;
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// Longest wait for a whole response.
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A whole response.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Reply {
+    /// A header as text; empty if it is missing.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default()
+    }
+
+    /// The body as JSON; null if it is none.
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+}
+
+/// One caller's connection; it is opened again when it has closed.
+pub struct Caller {
+    address: SocketAddr,
+    sender: Option<SendRequest<Full<Bytes>>>,
+}
+
+impl Caller {
+    /// A caller that has not connected yet.
+    pub fn new(address: SocketAddr) -> Self {
+        Caller { address, sender: None }
+    }
+
+    async fn sender(&mut self) -> anyhow::Result<SendRequest<Full<Bytes>>> {
+        if let Some(mut sender) = self.sender.take()
+            && sender.ready().await.is_ok()
+        {
+            return Ok(sender);
+        }
+        let stream = TcpStream::connect(self.address)
+            .await
+            .with_context(|| format!("cannot connect to {}", self.address))?;
+        stream.set_nodelay(true).context("cannot set TCP_NODELAY")?;
+        let (sender, connection) =
+            hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+        tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(sender)
+    }
+
+    /// Sends a request and reads the whole response.
+    pub async fn send(
+        &mut self,
+        method: &Method,
+        target: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> anyhow::Result<Reply> {
+        let mut request =
+            Request::builder().method(method).uri(target).header("host", self.address.to_string());
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new(body.into())).context("the request is not valid")?;
+        let mut sender = self.sender().await?;
+        let exchange = async {
+            let response = sender.send_request(request).await.context("no response")?;
+            let (head, body) = response.into_parts();
+            let body = body.collect().await.context("the response was cut short")?.to_bytes();
+            anyhow::Ok(Reply { status: head.status, headers: head.headers, body })
+        };
+        let reply =
+            tokio::time::timeout(TIMEOUT, exchange).await.context("no whole response")??;
+        self.sender = Some(sender);
+        Ok(reply)
+    }
+}
+
+/// Sends one request on a connection of its own.
+pub async fn http(
+    address: SocketAddr,
+    method: &Method,
+    target: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+) -> anyhow::Result<Reply> {
+    Caller::new(address).send(method, target, headers, body).await
+}
--- /dev/null
+++ b/tools/harness/src/fleet.rs
@@ -0,0 +1,245 @@
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, bail};
+use config::{Change, ChangeSet};
+use http::Method;
+use kernel::prelude::*;
+use kernel::{BackendLimits, BackendSpec};
+use operator::Client;
+use serde_json::{Value, json};
+
+use crate::caller::{Reply, http};
+use crate::net::Net;
+use crate::process::Process;
+use crate::shape::Shape;
+
+/// Token of the operators of a fleet.
+pub const TOKEN: &str = "operator-token-of-the-harness";
+/// Longest wait for a fleet to serve; generous, since machines differ.
+const START_LIMIT: Duration = Duration::from_secs(60);
+
+/// How the programs of a fleet are started.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// Command that takes a settings file.
+    pub daemon: Vec<OsString>,
+    /// Command that takes `platform` or `backend` and its options.
+    pub standins: Vec<OsString>,
+}
+
+/// A running fleet with its platform and backend servers.
+pub struct Fleet {
+    net: Net,
+    dir: PathBuf,
+    programs: Programs,
+    shape: Shape,
+    /// Platform.
+    pub platform: Process,
+    /// Backend servers, in the order of the shape.
+    pub backends: Vec<Process>,
+    /// VMs, in the order of the shape; none once one was taken away.
+    pub vms: Vec<Option<Process>>,
+    changes: AtomicU32,
+}
+
+impl Fleet {
+    /// Starts the processes and waits until every VM serves.
+    pub async fn start(programs: Programs, shape: Shape) -> anyhow::Result<Self> {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let dir = std::env::temp_dir().join(format!("papayareel-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&dir)
+            .with_context(|| format!("cannot create {}", dir.display()))?;
+        let net = Net::new();
+        let args = ["platform", "--listen", &net.address(250, 7000).to_string()].map(Into::into);
+        let platform =
+            Process::start("platform", &programs.standins, &args, &dir.join("platform.log"))?;
+        let mut fleet = Fleet {
+            net,
+            dir,
+            programs,
+            shape,
+            platform,
+            backends: Vec::new(),
+            vms: Vec::new(),
+            changes: AtomicU32::new(0),
+        };
+        for i in 0..fleet.shape.backends.len() {
+            let backend = fleet.start_backend(i)?;
+            fleet.backends.push(backend);
+        }
+        fleet.wait_for(fleet.platform_address(), "/vms").await?;
+        for i in 0..fleet.shape.vms.len() {
+            let vm = fleet.start_vm(i)?;
+            fleet.vms.push(Some(vm));
+        }
+        for i in 0..fleet.vms.len() {
+            fleet.wait_for(fleet.callers(i), "/").await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Address of the platform.
+    pub fn platform_address(&self) -> SocketAddr {
+        self.net.address(250, 7000)
+    }
+
+    /// Address of a VM for callers.
+    pub fn callers(&self, vm: usize) -> SocketAddr {
+        self.net.address(vm as u8 + 1, 8001)
+    }
+
+    /// Address of a VM for operators.
+    pub fn operators(&self, vm: usize) -> SocketAddr {
+        self.net.address(vm as u8 + 1, 8003)
+    }
+
+    /// Address of a VM for metrics.
+    pub fn admin(&self, vm: usize) -> SocketAddr {
+        self.net.address(vm as u8 + 1, 8004)
+    }
+
+    /// Address of a backend server.
+    pub fn backend(&self, backend: usize) -> SocketAddr {
+        self.net.address(backend as u8 + 100, 9000)
+    }
+
+    /// Folder with settings and logs.
+    pub fn dir(&self) -> &PathBuf {
+        &self.dir
+    }
+
+    fn start_backend(&self, i: usize) -> anyhow::Result<Process> {
+        let shape = &self.shape.backends[i];
+        let args = [
+            "backend".to_owned(),
+            format!("--listen={}", self.backend(i)),
+            format!("--id=b{i}"),
+            format!("--slots={}", shape.slots),
+            format!("--median-ms={}", self.shape.median.as_millis()),
+            format!("--p99-ms={}", self.shape.p99.as_millis()),
+            format!("--seed={}", i + 1),
+        ];
+        let args: Vec<OsString> =
+            args.iter().flat_map(|a| a.split('=')).map(OsString::from).collect();
+        let log = self.dir.join(format!("backend-{i}.log"));
+        Process::start(&format!("backend server {i}"), &self.programs.standins, &args, &log)
+    }
+
+    /// Starts the VM with this number; its settings are written again.
+    pub fn start_vm(&self, i: usize) -> anyhow::Result<Process> {
+        let place = &self.shape.vms[i].place;
+        let mut settings = json!({
+            "vm": format!("vm-{i}"),
+            "place": {"region": place.region, "domain": place.domain},
+            "listen": {
+                "callers": self.callers(i).to_string(),
+                "peers": self.net.address(i as u8 + 1, 8002).to_string(),
+                "operators": self.operators(i).to_string(),
+                "admin": self.admin(i).to_string(),
+            },
+            "platform": {"address": self.platform_address().to_string()},
+            "secrets": {"fleet": "fleet-secret-of-the-harness", "operator_tokens": [TOKEN]},
+            "session": {"lease_s": self.shape.lease.as_secs()},
+            "entry": {"ttl_ms": 1000},
+            "log": {"format": "text", "level": "info"},
+        });
+        merge(&mut settings, &self.shape.settings);
+        let file = self.dir.join(format!("vm-{i}.json"));
+        std::fs::write(&file, settings.to_string())
+            .with_context(|| format!("cannot write {}", file.display()))?;
+        let log = self.dir.join(format!("vm-{i}.log"));
+        Process::start(&format!("VM {i}"), &self.programs.daemon, &[file.into()], &log)
+    }
+
+    /// Waits until an address answers a request at all.
+    pub async fn wait_for(&self, address: SocketAddr, target: &str) -> anyhow::Result<()> {
+        let start = Instant::now();
+        while http(address, &Method::GET, target, &[], "").await.is_err() {
+            if start.elapsed() > START_LIMIT {
+                bail!("{address} does not answer; see the logs in {}", self.dir.display());
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        Ok(())
+    }
+
+    /// Sets switches of the platform or of a backend server.
+    pub async fn control(&self, address: SocketAddr, switches: Value) -> anyhow::Result<Reply> {
+        http(address, &Method::POST, "/control", &[], switches.to_string()).await
+    }
+
+    /// A client of the operators' interface of a VM.
+    pub async fn operator(&self, vm: usize) -> anyhow::Result<Client> {
+        Ok(Client::connect(self.operators(vm), TOKEN).await?)
+    }
+
+    /// Applies changes through a VM, on the newest version that it knows.
+    pub async fn apply(&self, vm: usize, changes: Vec<Change>) -> anyhow::Result<Version> {
+        let start = Instant::now();
+        loop {
+            let number = self.changes.fetch_add(1, Ordering::Relaxed);
+            let mut client = self.operator(vm).await?;
+            let base_version = client.config().await?.version;
+            let change_id = format!("harness-{}-{number}", std::process::id()).into();
+            let set = ChangeSet { change_id, base_version, changes: changes.clone() };
+            match client.apply(&set).await {
+                Ok(applied) => return Ok(applied.version),
+                // The VMs find each other in the first seconds.
+                Err(error) if start.elapsed() > START_LIMIT => return Err(error.into()),
+                Err(_) => tokio::time::sleep(Duration::from_millis(100)).await,
+            }
+        }
+    }
+
+    /// Waits until every running VM has the version in force.
+    pub async fn wait_version(&self, version: Version) -> anyhow::Result<()> {
+        let start = Instant::now();
+        for vm in (0..self.vms.len()).filter(|i| self.vms[*i].is_some()) {
+            while self.operator(vm).await?.config().await?.version < version {
+                if start.elapsed() > START_LIMIT {
+                    bail!("VM {vm} does not get version {version}");
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Backend servers of a service as the configuration describes them.
+    pub fn specs(&self, service: &str) -> Vec<BackendSpec> {
+        let all = self.shape.backends.iter().enumerate().filter(|(_, b)| &*b.service == service);
+        all.map(|(i, b)| BackendSpec {
+            id: format!("b{i}").into(),
+            address: self.backend(i),
+            place: b.place.clone(),
+            limits: BackendLimits { slots: b.slots, connections: 400 },
+            draining: false,
+        })
+        .collect()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        // The logs of a failed test are worth keeping.
+        if !std::thread::panicking() && std::env::var_os("PAPAYAREEL_KEEP_LOGS").is_none() {
+            let _ = std::fs::remove_dir_all(&self.dir);
+        }
+    }
+}
+
+fn merge(into: &mut Value, from: &Value) {
+    match (into, from) {
+        (Value::Object(into), Value::Object(from)) => {
+            for (key, value) in from {
+                merge(into.entry(key.clone()).or_insert(Value::Null), value);
+            }
+        }
+        (into, from) => *into = from.clone(),
+    }
+}
--- /dev/null
+++ b/tools/harness/src/process.rs
@@ -0,0 +1,77 @@
+use std::ffi::OsString;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, bail};
+
+/// A process that is killed when it is dropped.
+pub struct Process {
+    child: Child,
+    name: String,
+}
+
+impl Process {
+    /// Starts a program; what it prints goes to a file.
+    pub fn start(
+        name: &str,
+        program: &[OsString],
+        args: &[OsString],
+        log: &Path,
+    ) -> anyhow::Result<Self> {
+        let (first, rest) = program.split_first().context("no program is given")?;
+        let file = std::fs::File::create(log)
+            .with_context(|| format!("cannot write {}", log.display()))?;
+        let child = Command::new(first)
+            .args(rest)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(file.try_clone().context("cannot share the log file")?)
+            .stderr(file)
+            .spawn()
+            .with_context(|| format!("cannot start {name}; build {}", first.display()))?;
+        Ok(Process { child, name: name.to_owned() })
+    }
+
+    /// Sends a signal by its name, such as `TERM`, `STOP` or `CONT`.
+    pub fn signal(&self, name: &str) -> anyhow::Result<()> {
+        let status = Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(self.child.id().to_string())
+            .status()
+            .context("cannot run kill")?;
+        if !status.success() {
+            bail!("{} does not run any more", self.name);
+        }
+        Ok(())
+    }
+
+    /// Kills the process at once.
+    pub fn kill(&mut self) -> anyhow::Result<()> {
+        self.child.kill().with_context(|| format!("cannot kill {}", self.name))?;
+        self.child.wait().with_context(|| format!("cannot wait for {}", self.name))?;
+        Ok(())
+    }
+
+    /// Waits for the end of the process; returns whether it ended with success.
+    pub async fn wait(&mut self, limit: Duration) -> anyhow::Result<bool> {
+        let start = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().context("cannot wait for a process")? {
+                return Ok(status.success());
+            }
+            if start.elapsed() > limit {
+                bail!("{} did not end within {limit:?}", self.name);
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/tools/standins/src/lib.rs
+++ b/tools/standins/src/lib.rs
@@ -2,6 +2,8 @@
 
 /// Stand-in for a backend server with switchable gray failures.
 pub mod backend;
+/// Command line of the stand-ins.
+pub mod command;
 mod door;
 /// Stand-in for the platform's table, object store and list of VMs.
 pub mod platform;
