Add the experiments detection, ejections and link

Cause: the targets for gray backend servers and for the link between regions need figures of the real plug-ins.

Change: fakes of backend servers with switchable gray failures and of a fleet in virtual time; three experiments that run the naive and the chosen plug-ins on the same arrivals. A backend server that has gone silent is now probed before it is ejected, to tell a broken way from a stall.

--- a/components/detector/src/judge.rs
+++ b/components/detector/src/judge.rs
@@ -11,6 +11,8 @@
 const PROBE_GAP: Duration = Duration::from_secs(1);
 /// Time after which an unanswered probe has failed.
 const PROBE_WAIT: Duration = Duration::from_secs(2);
+/// Time after which an unanswered probe shows that the way is broken or the backend server hangs.
+const WAY_WAIT: Duration = Duration::from_millis(500);
 /// Wait before the next probe after one has failed.
 const PROBE_AGAIN: Duration = Duration::from_secs(5);
 /// Shortest time between the first evidence and an ejection; two pauses of 500 ms in a row.
@@ -54,6 +56,9 @@
 
 /// Takes the end of a probe.
 pub(crate) fn end_probe(track: &mut Track, now: Uptime, healthy: bool) {
+    if track.way_asked.take().is_some() {
+        track.way = Some((now, healthy));
+    }
     match &mut track.state {
         State::Ejected { probe: Some(_), .. } if healthy => {
             track.half_open();
@@ -160,21 +165,34 @@
         {
             end_probe(track, now, false);
         }
+        _ if track.way_asked.is_some_and(|at| now.saturating_sub(at) >= WAY_WAIT) => {
+            end_probe(track, now, false);
+        }
         _ => (),
     }
 }
 
+/// Whether nothing has come back since the evidence began. Then the backend server may be fine
+/// and the way from this VM broken.
+fn is_silent(track: &Track, since: Uptime) -> bool {
+    track.alive.is_none_or(|at| at < since)
+}
+
 /// Finds out whether the way from this VM is broken and not the backend server.
 fn find_unreachable(track: &mut Track, now: Uptime) {
-    let (strength, _, since) = track.weigh(now);
+    if !track.state.takes_work() && !matches!(track.state, State::Ejected { .. }) {
+        return;
+    }
     let refused = track.connect_fails >= 2;
-    let silent = strength >= SUSPECT && track.alive.is_none_or(|at| at < since);
-    let since = if refused { track.connect_since } else { since };
+    let (strength, _, begun) = track.weigh(now);
+    let since = if refused { track.connect_since } else { begun };
+    let broken = strength >= SUSPECT
+        && is_silent(track, since)
+        && matches!(track.way, Some((at, false)) if at > since);
     // A report from before the first evidence says nothing about now.
     let reached =
         track.peer_reached.is_some_and(|at| at > since && now.saturating_sub(at) < REPORT_AGE);
-    let judged = track.state.takes_work() || matches!(track.state, State::Ejected { .. });
-    if judged && reached && (refused || silent) {
+    if reached && (refused || broken) {
         track.state = State::Unreachable { until: now + UNREACHABLE_WAIT, probe: None };
         track.suspect = false;
     }
@@ -219,7 +237,9 @@
         let after = now.saturating_sub(since);
         let doubt =
             track.connect_fails > 0 && now.saturating_sub(track.connect_since) < PARTITION_DOUBT;
-        if strength >= ejects_at(reason) && after >= LEAST_SPAN && !doubt {
+        // A backend server that has gone silent is probed first.
+        let asked = !is_silent(track, since) || track.way.is_some_and(|(at, _)| at > since);
+        if strength >= ejects_at(reason) && after >= LEAST_SPAN && !doubt && asked {
             due.push((strength, reason, after, id.clone()));
         }
     }
@@ -236,21 +256,28 @@
     }
 }
 
-/// Sends a probe to one backend server whose wait is over.
+/// Sends a probe to one backend server: one that has gone silent, or one whose wait is over.
 fn probe(evidence: &mut Evidence, now: Uptime, actions: &mut Vec<DetectorAction>) {
     if evidence.last_probe.is_some_and(|at| now.saturating_sub(at) < PROBE_GAP) {
         return;
     }
-    for (id, track) in &mut evidence.tracks {
-        if let State::Ejected { until, probe } | State::Unreachable { until, probe } =
-            &mut track.state
-            && probe.is_none()
-            && now >= *until
-        {
-            *probe = Some(now);
-            evidence.last_probe = Some(now);
-            actions.push(DetectorAction::Probe { backend: id.clone() });
-            return;
+    let is_due = |track: &Track| match track.state {
+        State::Taking | State::Ramp { .. } => {
+            let (strength, _, since) = track.weigh(now);
+            let known = track.way.is_some_and(|(at, _)| at > since);
+            strength >= SUSPECT && is_silent(track, since) && !known && track.way_asked.is_none()
+        }
+        State::Ejected { until, probe } | State::Unreachable { until, probe } => {
+            probe.is_none() && now >= until
         }
+        _ => false,
+    };
+    let due = evidence.tracks.iter_mut().find(|(_, track)| is_due(track));
+    let Some((id, track)) = due else { return };
+    match &mut track.state {
+        State::Ejected { probe, .. } | State::Unreachable { probe, .. } => *probe = Some(now),
+        _ => track.way_asked = Some(now),
     }
+    evidence.last_probe = Some(now);
+    actions.push(DetectorAction::Probe { backend: id.clone() });
 }
--- a/components/detector/src/track.rs
+++ b/components/detector/src/track.rs
@@ -74,6 +74,10 @@
     pub alive: Option<Uptime>,
     /// Last report of another VM that could reach it.
     pub peer_reached: Option<Uptime>,
+    /// When a probe was sent to find out whether the way from here is broken.
+    pub way_asked: Option<Uptime>,
+    /// End of the last such probe, and whether it was answered.
+    pub way: Option<(Uptime, bool)>,
     /// Ejections since it was calm; sets the wait.
     pub flaps: u32,
     /// True if there was bad evidence since the last ejection.
@@ -111,6 +115,8 @@
             connect_since: now,
             alive: None,
             peer_reached: None,
+            way_asked: None,
+            way: None,
             flaps: 0,
             tainted: false,
             trial_failed: false,
--- a/tools/measure/src/experiments/mod.rs
+++ b/tools/measure/src/experiments/mod.rs
@@ -1,5 +1,9 @@
 //! One file for each experiment.
 
+mod detection;
+mod ejections;
+mod link;
+
 use crate::Options;
 use crate::figure::Figure;
 
@@ -12,4 +16,8 @@
 }
 
 /// Every experiment.
-pub const ALL: &[Experiment] = &[];
+pub const ALL: &[Experiment] = &[
+    Experiment { name: "detection", run: detection::run },
+    Experiment { name: "ejections", run: ejections::run },
+    Experiment { name: "link", run: link::run },
+];
--- a/tools/measure/src/lib.rs
+++ b/tools/measure/src/lib.rs
@@ -1,6 +1,7 @@
 //! Experiments in virtual time against small fakes.
 
 pub mod experiments;
+pub mod fakes;
 pub mod figure;
 
 /// Seeds of an experiment.
