Give every backend server a request at least each 400 ms

Cause: at 2 requests/s per backend server the own failure domain took every request of its home, so the others gave no evidence: with 4 slots the median detection time was 53.6 s (all stall) and 60 s (other faults).

Change: a backend server without a request for 400 ms comes first; then the own failure domain, then the region by load.

Kept with the preference, which saves a way of 2 ms.

--- a/components/balancer/src/homes.rs
+++ b/components/balancer/src/homes.rs
@@ -15,6 +15,9 @@
 const TRIAL_SHARE: f64 = 0.1;
 /// Trials that can be saved up.
 const TRIAL_BURST: f64 = 2.0;
+/// Time without a request after which a backend server comes first: one without requests gives no
+/// evidence, and a stall of it would be found by the rush that needs it.
+const EVIDENCE_GAP: Duration = Duration::from_millis(400);
 /// Shortest time between two trials of one suspect backend server.
 const TRIAL_GAP: Duration = Duration::from_millis(500);
 
@@ -60,17 +63,20 @@
     }
 
     /// Rank of a backend server; the lowest rank with a free slot takes the request.
-    fn tier(&self, member: &Member, standing: Standing) -> Option<u8> {
+    fn tier(&self, now: Uptime, member: &Member, standing: Standing) -> Option<u8> {
         let local = self.local.as_ref()?;
         let place = &member.spec.place;
         match standing {
-            Standing::Healthy | Standing::Ramping(_) if place.region != local.region => Some(2),
+            Standing::Healthy | Standing::Ramping(_) if place.region != local.region => Some(3),
             Standing::Healthy | Standing::Ramping(_) => {
+                if member.last_work.is_none_or(|at| now.saturating_sub(at) >= EVIDENCE_GAP) {
+                    return Some(0);
+                }
                 // The own failure domain is filled to half its slots before others take work.
                 let near = place.domain == local.domain && member.next_load(standing)? <= 500;
-                Some(u8::from(!near))
+                Some(if near { 1 } else { 2 })
             }
-            Standing::Suspect => Some(3),
+            Standing::Suspect => Some(4),
             _ => None,
         }
     }
@@ -110,6 +116,7 @@
             let member = self.members.get_mut(&id)?;
             member.used += 1;
             member.last_pick = self.picks;
+            member.last_work = Some(now);
             member.last_trial = Some(now);
             member.in_trial = true;
             return Some(Pick { backend: id, trial: true });
@@ -120,7 +127,7 @@
             .filter(|member| member.present && !request.tried.contains(&member.spec.id))
             .filter_map(|member| {
                 let standing = standing(&member.spec.id);
-                let tier = self.tier(member, standing)?;
+                let tier = self.tier(now, member, standing)?;
                 Some(((tier, member.next_load(standing)?, member.last_pick), member))
             })
             .min_by_key(|(key, _)| *key)
@@ -128,6 +135,7 @@
         let member = self.members.get_mut(&id)?;
         member.used += 1;
         member.last_pick = self.picks;
+        member.last_work = Some(now);
         Some(Pick { backend: id, trial: false })
     }
 
--- a/components/balancer/src/member.rs
+++ b/components/balancer/src/member.rs
@@ -11,6 +11,8 @@
     pub used: u32,
     /// Number of the pick that chose it last.
     pub last_pick: u64,
+    /// When that was.
+    pub last_work: Option<Uptime>,
     /// When it last got a trial.
     pub last_trial: Option<Uptime>,
     /// True from a trial until any slot of it is freed.
@@ -20,7 +22,15 @@
 impl Member {
     /// A backend server without work.
     pub fn new(spec: BackendSpec) -> Self {
-        Member { spec, present: true, used: 0, last_pick: 0, last_trial: None, in_trial: false }
+        Member {
+            spec,
+            present: true,
+            used: 0,
+            last_pick: 0,
+            last_work: None,
+            last_trial: None,
+            in_trial: false,
+        }
     }
 
     /// Slots that may be in use at once with this standing.
