Add random histories of the detectors and the balancers

Cause: the budget of ejections and the slots must hold in any order of events.

Change: stateful tests with a fixed seed against plain counts, tests of the connection allowance and of the link budget.

--- /dev/null
+++ b/components/balancer/tests/stateful.rs
@@ -0,0 +1,135 @@
+//! Random histories of both balancers against a plain count of slots.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use kernel::{
+    BackendId, BackendLimits, BackendSpec, PickRequest, Place, ServiceContext, Standing, Uptime,
+    build_balancer,
+};
+use quickcheck::{Arbitrary, Gen};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+// The plug-ins are found by name, so the crate must be linked.
+use balancer as _;
+
+const STEPS: usize = 400;
+
+fn fuzz(name: &str, default: u64) -> u64 {
+    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+fn arbitrary_specs(g: &mut Gen) -> Vec<BackendSpec> {
+    let count = 1 + usize::arbitrary(g) % 6;
+    (0..count)
+        .map(|i| BackendSpec {
+            id: format!("b{i}").into(),
+            address: ([127, 0, 0, 1], 1).into(),
+            place: Place {
+                region: format!("r{}", i % 4 / 3).into(),
+                domain: format!("d{}", i % 3).into(),
+            },
+            limits: BackendLimits { slots: 1 + u32::arbitrary(g) % 4, connections: 100 },
+            draining: false,
+        })
+        .collect()
+}
+
+fn arbitrary_standing(g: &mut Gen) -> Standing {
+    let share = f64::from(1 + u8::arbitrary(g) % 100) / 100.0;
+    *g.choose(&[
+        Standing::Healthy,
+        Standing::Healthy,
+        Standing::Ramping(share),
+        Standing::Suspect,
+        Standing::Unreachable,
+        Standing::HalfOpen,
+        Standing::Ejected,
+        Standing::Draining,
+    ])
+    .expect("not empty")
+}
+
+/// Most requests that a backend server may have after a pick.
+fn most(slots: u32, standing: Standing) -> u32 {
+    match standing {
+        Standing::Healthy | Standing::Suspect => slots,
+        Standing::Ramping(share) => ((f64::from(slots) * share) as u32).max(1),
+        Standing::HalfOpen => 1,
+        Standing::Unreachable | Standing::Ejected | Standing::Draining => 0,
+    }
+}
+
+fn run_history(name: &str, g: &mut Gen, seed: u64) {
+    let local = Place { region: "r0".into(), domain: "d0".into() };
+    let context = ServiceContext { service: "s".into(), place: local.clone(), vms: 1, floor: 0.7 };
+    let mut balancer = build_balancer(name, &context).expect("the plug-in is linked");
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut now = Uptime::ZERO;
+    let mut specs = arbitrary_specs(g);
+    balancer.set_backends(now, &specs, &local);
+    let mut standings: BTreeMap<BackendId, Standing> = BTreeMap::new();
+    let mut used: BTreeMap<BackendId, u32> = BTreeMap::new();
+    for step in 0..STEPS {
+        now += Duration::from_millis(u64::arbitrary(g) % 100);
+        match u8::arbitrary(g) % 30 {
+            // The naive balancer forgets slots of backend servers that leave.
+            0 if name != "naive" || used.values().all(|count| *count == 0) => {
+                specs = arbitrary_specs(g);
+                balancer.set_backends(now, &specs, &local);
+            }
+            1..4 => {
+                let id = g.choose(&specs).expect("not empty").id.clone();
+                standings.insert(id, arbitrary_standing(g));
+            }
+            4..14 => {
+                let busy: Vec<BackendId> = used
+                    .iter()
+                    .filter(|(_, count)| **count > 0)
+                    .map(|(id, _)| id.clone())
+                    .collect();
+                if let Some(id) = g.choose(&busy) {
+                    balancer.release(now, id);
+                    *used.entry(id.clone()).or_default() -= 1;
+                }
+            }
+            _ => {
+                let tried: Vec<BackendId> = if u8::arbitrary(g) % 4 == 0 {
+                    vec![g.choose(&specs).expect("not empty").id.clone()]
+                } else {
+                    Vec::new()
+                };
+                let idempotent = bool::arbitrary(g);
+                let standing = |id: &str| standings.get(id).copied().unwrap_or(Standing::Healthy);
+                let request = PickRequest { idempotent, tried: &tried };
+                let Some(pick) = balancer.pick(now, &request, &standing, &mut rng) else {
+                    continue;
+                };
+                let spec = specs.iter().find(|spec| spec.id == pick.backend);
+                let slots = spec.expect("only configured ones are picked").limits.slots;
+                let count = used.entry(pick.backend.clone()).or_default();
+                *count += 1;
+                let limit = most(slots, standing(&pick.backend));
+                assert!(
+                    *count <= limit,
+                    "{name}, seed {seed}, step {step}: {pick:?}, {count} > {limit}"
+                );
+                assert!(!tried.contains(&pick.backend) && (idempotent || !pick.trial));
+                let (open, in_use) = balancer.load(&standing);
+                assert!(in_use <= open);
+            }
+        }
+    }
+}
+
+/// Guards against more work on a backend server than its slots and its standing allow.
+#[test]
+fn slots_in_use_never_exceed_the_limits() {
+    let cases = fuzz("PAPAYAREEL_FUZZ_CASES", 200);
+    let seed = fuzz("PAPAYAREEL_FUZZ_SEED", 1);
+    for name in ["homes", "naive"] {
+        let mut g = Gen::from_size_and_seed(100, seed);
+        (0..cases).for_each(|case| run_history(name, &mut g, seed + case));
+    }
+}
--- a/components/detector/tests/evidence.rs
+++ b/components/detector/tests/behaviour/evidence.rs
@@ -1,10 +1,8 @@
 //! Behaviour of the `evidence` detector in single cases.
 
-mod bench;
-
 use std::time::Duration;
 
-use bench::Bench;
+use crate::bench::Bench;
 use kernel::{AttemptOutcome, BackendEvent, DetectorAction, LoadHint, Standing};
 
 const ORDINARY: Duration = Duration::from_millis(50);
