Add the command line for operators

Subcommands create, list, show and remove organisations, services and routes, issue and withdraw keys, apply a desired state from a file, and show status and explanations. Exit codes tell a conflict, a change that is not in force everywhere and an unavailable fleet apart, so that scripts can act on them. docs/operating.md describes all of it.

A file of desired state has to hold organisations, services and routes, so that no file removes what it does not mention; only the keys may be left out. Creating an entry that exists as it is, and removing one under a change id that has taken effect, are no errors, so that a command can be given again after a lost answer.

--- /dev/null
+++ b/components/config/src/desired.rs
@@ -0,0 +1,61 @@
+use std::collections::BTreeMap;
+
+use kernel::prelude::*;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::{FleetConfig, Key, KeyDigest, Organisation, Route, Service};
+
+/// A file is not a desired state.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("{path}: {cause}; see the section \"Command line\" of docs/operating.md for the form")]
+pub struct DesiredError {
+    /// Where, such as `services.stock.floor`; `.` is the whole file.
+    pub path: Box<str>,
+    /// What is wrong.
+    pub cause: Box<str>,
+}
+
+/// The state that an operator wants the fleet to have.
+///
+/// Nothing but the keys may be left out, so that no file removes what it does not mention.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DesiredState {
+    /// Organisations by name.
+    pub organisations: BTreeMap<OrganisationId, Organisation>,
+    /// Services by name.
+    pub services: BTreeMap<ServiceId, Service>,
+    /// Routes by name.
+    pub routes: BTreeMap<RouteId, Route>,
+    /// Keys by digest; none leaves the keys as they are.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub keys: Option<BTreeMap<KeyDigest, Key>>,
+}
+
+impl DesiredState {
+    /// Reads a desired state from JSON.
+    pub fn parse(json: &[u8]) -> Result<Self, DesiredError> {
+        let mut reader = serde_json::Deserializer::from_slice(json);
+        let state = serde_path_to_error::deserialize(&mut reader).map_err(|error| {
+            let path = error.path().to_string().into();
+            DesiredError { path, cause: error.into_inner().to_string().into() }
+        })?;
+        reader.end().map_err(|error| {
+            let cause = error.to_string().into();
+            DesiredError { path: ".".into(), cause }
+        })?;
+        Ok(state)
+    }
+
+    /// The configuration that this state asks for where `current` is in force.
+    pub fn over(self, current: &FleetConfig) -> FleetConfig {
+        FleetConfig {
+            version: current.version,
+            organisations: self.organisations,
+            keys: self.keys.unwrap_or_else(|| current.keys.clone()),
+            services: self.services,
+            routes: self.routes,
+        }
+    }
+}
--- a/components/config/src/digest.rs
+++ b/components/config/src/digest.rs
@@ -14,7 +14,7 @@
 
 /// The text is not a digest.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
-#[error("a key digest has 64 lower-case hexadecimal characters; issue the key again to get one")]
+#[error("a key digest has 64 lower-case hexadecimal characters; list the keys to find it")]
 pub struct DigestError;
 
 impl KeyDigest {
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod change;
 mod check;
+mod desired;
 mod diff;
 mod digest;
 mod fault;
@@ -18,6 +19,7 @@
 
 pub use apply::{apply, replay};
 pub use change::{Change, ChangeSet, Delta};
+pub use desired::{DesiredError, DesiredState};
 pub use diff::diff;
 pub use digest::{DigestError, KeyDigest, digest_key, parse_digest};
 pub use fault::{ChangeError, Fault, FaultKind, Faults};
--- a/components/config/src/render.rs
+++ b/components/config/src/render.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::fmt;
 
 use crate::{Change, FleetConfig};
@@ -23,9 +24,9 @@
                 let old = self.current.organisations.get(id);
                 let fields = |o: &crate::Organisation| {
                     vec![
-                        ("rate", format!("{}/s", o.rate.per_second)),
-                        ("burst", o.rate.burst.to_string()),
-                        ("weight", o.weight.to_string()),
+                        field("rate", format!("{}/s", o.rate.per_second)),
+                        field("burst", o.rate.burst),
+                        field("weight", o.weight),
                     ]
                 };
                 put(f, "organisation", id, old.map(fields), fields(organisation))
@@ -56,7 +57,12 @@
     }
 }
 
-type Fields = Vec<(&'static str, String)>;
+/// Names and values of an entry.
+type Fields = Vec<(String, String)>;
+
+fn field(name: &str, value: impl ToString) -> (String, String) {
+    (name.to_owned(), value.to_string())
+}
 
 fn put(
     f: &mut fmt::Formatter<'_>,
@@ -65,50 +71,53 @@
     old: Option<Fields>,
     new: Fields,
 ) -> fmt::Result {
-    write!(f, "{} {kind} {id}:", if old.is_some() { '~' } else { '+' })?;
-    for (i, (name, value)) in new.iter().enumerate() {
-        match old.as_ref().map(|old| &old[i].1) {
-            None => write!(f, " {name} {value}")?,
-            Some(was) if was != value => write!(f, " {name} {was} -> {value}")?,
-            Some(_) => {}
+    let mut text = format!("{} {kind} {id}:", if old.is_some() { '~' } else { '+' });
+    let mut old: BTreeMap<String, String> = old.into_iter().flatten().collect();
+    let created = old.is_empty();
+    for (name, value) in new {
+        match old.remove(&name) {
+            Some(was) if was == value => {}
+            Some(was) => text += &format!(" {name} {was} -> {value},"),
+            None if created => text += &format!(" {name} {value},"),
+            None => text += &format!(" new {name} {value},"),
         }
     }
-    writeln!(f)
+    for name in old.keys() {
+        text += &format!(" without {name},");
+    }
+    writeln!(f, "{}", text.trim_end_matches(','))
 }
 
 fn service_fields(service: &crate::Service) -> Fields {
     let backends = service.backends.iter().map(|backend| {
         let (limits, place) = (backend.limits, &backend.place);
-        format!(
-            "{}@{} ({}/{}, {} slots, {} connections{})",
-            backend.id,
+        let value = format!(
+            "({} in {}/{}, {} slots, {} connections{})",
             backend.address,
             place.region,
             place.domain,
             limits.slots,
             limits.connections,
             if backend.draining { ", draining" } else { "" },
-        )
+        );
+        (format!("backend server {}", backend.id), value)
     });
-    vec![("floor", service.floor.to_string()), ("backends", list(backends))]
+    std::iter::once(field("floor", service.floor)).chain(backends).collect()
 }
 
 fn route_fields(route: &crate::Route) -> Fields {
-    let text = |items: &[Box<str>], none: &str| {
-        if items.is_empty() { none.to_owned() } else { list(items.iter().map(|i| i.to_string())) }
+    let list = |items: &[Box<str>]| match items {
+        [] => "all".to_owned(),
+        items => format!("[{}]", items.join(" ")),
     };
     vec![
-        ("prefix", route.prefix.to_string()),
-        ("methods", text(&route.methods, "all")),
-        ("service", route.service.to_string()),
-        ("open", route.open.to_string()),
-        ("idempotent", route.idempotent.to_string()),
-        ("weight", route.weight.to_string()),
-        ("deadline", format!("{} ms", route.deadline.as_millis())),
-        ("organisations", text(&route.organisations, "all")),
+        field("prefix", &route.prefix),
+        field("methods", list(&route.methods)),
+        field("service", &route.service),
+        field("open", route.open),
+        field("idempotent", route.idempotent),
+        field("weight", route.weight),
+        field("deadline", format!("{} ms", route.deadline.as_millis())),
+        field("organisations", list(&route.organisations)),
     ]
 }
-
-fn list(items: impl Iterator<Item = String>) -> String {
-    format!("[{}]", items.collect::<Vec<_>>().join(", "))
-}
--- a/components/operator/src/client.rs
+++ b/components/operator/src/client.rs
@@ -1,3 +1,4 @@
+use std::error::Error;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,7 +12,8 @@
 use crate::detail::read_kind;
 use crate::proto::operator_client::OperatorClient;
 use crate::{
-    Applied, ExplainQuery, Explanation, OperatorError, Status, StatusQuery, proto, tokens,
+    Applied, ExplainQuery, Explanation, FieldFault, OperatorError, Status, StatusQuery, TokenError,
+    proto, tokens,
 };
 
 /// Longest wait for a connection.
@@ -47,13 +49,15 @@
 impl Client {
     /// Connects to a VM. The token is checked by the first call.
     pub async fn connect(address: SocketAddr, token: &str) -> Result<Self, OperatorError> {
-        let unusable = |e: tokens::TokenError| OperatorError::Unavailable(e.to_string().into());
-        tokens::check(token).map_err(unusable)?;
+        let unusable = |e: TokenError| FieldFault::new("token", e.to_string());
+        tokens::check(token).map_err(|e| OperatorError::Invalid(vec![unusable(e)]))?;
         let mut token: MetadataValue<Ascii> =
             format!("Bearer {token}").parse().map_err(|_| OperatorError::Unauthenticated)?;
         token.set_sensitive(true);
         let unreachable = |e: tonic::transport::Error| {
-            let text = format!("{address} cannot be reached ({e}); check it or ask another VM");
+            // The error itself only says that it comes from the transport.
+            let cause = e.source().map_or_else(|| e.to_string(), ToString::to_string);
+            let text = format!("{address} cannot be reached ({cause}); check it or ask another VM");
             OperatorError::Unavailable(text.into())
         };
         let endpoint = Endpoint::from_shared(format!("http://{address}")).map_err(unreachable)?;
--- a/components/operator/src/lib.rs
+++ b/components/operator/src/lib.rs
@@ -7,6 +7,8 @@
 mod error;
 mod explain;
 mod pager;
+mod progress;
+mod secrets;
 mod server;
 mod status;
 mod status_convert;
@@ -22,6 +24,8 @@
 pub use client::Client;
 pub use error::{FieldFault, OperatorError};
 pub use explain::{ExplainQuery, ExplainStep, Explanation};
+pub use progress::Progress;
+pub use secrets::Secrets;
 pub use server::serve;
 pub use status::{
     Ejection, RateShare, RateShares, Status, StatusQuery, VmLife, VmStatus, reason_name,
--- /dev/null
+++ b/src/cmd/apply.rs
@@ -0,0 +1,112 @@
+use std::io::{BufRead, IsTerminal, stdin};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use anyhow::{Context, Result, bail};
+use argh::FromArgs;
+use config::{Change, DesiredState, Rendering, diff};
+use operator::{OperatorError, Progress};
+use serde::Serialize;
+
+use crate::cli::NOT_EVERYWHERE;
+
+use super::session::read_file;
+use super::wait::wait;
+use super::{Session, UsageError};
+
+/// Brings the fleet to the state that a JSON file describes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "apply")]
+pub struct Args {
+    /// file with organisations, services, routes and, if wanted, keys
+    #[argh(positional)]
+    file: PathBuf,
+    /// wait until every live VM has the change in force
+    #[argh(switch)]
+    wait: bool,
+    /// longest wait in seconds, 30 by default
+    #[argh(option, default = "30")]
+    time_limit: u64,
+    /// do not ask before the change is made
+    #[argh(switch)]
+    yes: bool,
+}
+
+#[derive(Serialize)]
+struct Outcome {
+    version: u64,
+    changes: Vec<Change>,
+    progress: Option<Progress>,
+}
+
+/// Runs the subcommand.
+pub async fn run(session: &mut Session, args: Args) -> Result<ExitCode> {
+    let name = args.file.display();
+    let desired = DesiredState::parse(read_file(&args.file)?.as_bytes())
+        .map_err(|e| UsageError::error(format!("{name}: {e}")))?;
+    let current = session.config().await?;
+    let changes = diff(&current, &desired.over(&current));
+    // The difference goes to the standard error stream, so that --json stays readable.
+    eprint!("{}", Rendering { current: &current, changes: &changes });
+    let version = if changes.is_empty() {
+        current.version
+    } else {
+        if !args.yes {
+            confirm(changes.len(), current.version)?;
+        }
+        session.commit(&current, changes.clone()).await?.version
+    };
+    let mut outcome = Outcome { version, changes, progress: None };
+    if args.wait {
+        let progress = wait(session.client().await?, version, Duration::from_secs(args.time_limit));
+        outcome.progress = Some(progress.await.map_err(|error| describe(error, version))?);
+    }
+    session.report(&outcome, render)?;
+    match outcome.progress {
+        Some(progress) if !progress.is_complete() => Ok(ExitCode::from(NOT_EVERYWHERE)),
+        _ => Ok(ExitCode::SUCCESS),
+    }
+}
+
+fn describe(error: OperatorError, version: u64) -> anyhow::Error {
+    let text = format!("version {version} was accepted, but its progress cannot be read");
+    anyhow::Error::from(error).context(text)
+}
+
+fn confirm(changes: usize, version: u64) -> Result<()> {
+    if !stdin().is_terminal() {
+        return Err(UsageError::error("nobody can be asked here; give --yes to make the change"));
+    }
+    eprint!("Make these {changes} changes to version {version}? [y/N] ");
+    let mut answer = String::new();
+    stdin().lock().read_line(&mut answer).context("reading the answer")?;
+    if !answer.trim().eq_ignore_ascii_case("y") {
+        bail!("nothing was changed; answer y or give --yes to make the change");
+    }
+    Ok(())
+}
+
+fn render(outcome: &Outcome) -> String {
+    let version = outcome.version;
+    let mut text = match outcome.changes.len() {
+        0 => format!("nothing to change in version {version}\n"),
+        count => format!("{count} changes accepted as version {version}\n"),
+    };
+    let Some(progress) = &outcome.progress else { return text };
+    let ready = progress.ready;
+    if progress.is_complete() {
+        text += &format!("in force on all {ready} live VMs\n");
+    } else if progress.behind.is_empty() {
+        text += "no live VM is known; ask another VM for the status\n";
+    } else {
+        let behind = progress.behind.join(", ");
+        text += &format!("in force on {ready} live VMs, not yet on: {behind}\n");
+        text += "look at `papayareel status` for their freshness; they refuse keyed requests \
+                 while they cannot tell whether their configuration is the newest\n";
+    }
+    if !progress.silent.is_empty() {
+        text += &format!("silent VMs, not counted: {}\n", progress.silent.join(", "));
+    }
+    text
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,14 @@
+//! The subcommands, one file each, and what they share.
+
+pub mod apply;
+pub mod explain;
+pub mod key;
+pub mod organisation;
+pub mod route;
+pub mod service;
+mod session;
+pub mod status;
+mod table;
+mod wait;
+
+pub use session::{Session, UsageError};
--- /dev/null
+++ b/src/cmd/organisation.rs
@@ -0,0 +1,112 @@
+use std::collections::BTreeMap;
+use std::process::ExitCode;
+
+use anyhow::Result;
+use argh::FromArgs;
+use config::{Change, Organisation};
+use kernel::Rate;
+
+use super::Session;
+use super::session::{check_create, missing};
+
+/// Manages organisations.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "organisation")]
+pub struct Args {
+    #[argh(subcommand)]
+    action: Action,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Action {
+    Create(Create),
+    List(List),
+    Show(Show),
+    Remove(Remove),
+}
+
+/// Creates an organisation.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "create")]
+struct Create {
+    /// name
+    #[argh(positional)]
+    id: String,
+    /// requests per second over the whole fleet
+    #[argh(option)]
+    rate: f64,
+    /// requests at once, at least 1
+    #[argh(option)]
+    burst: f64,
+    /// weight in the fair queue, 1 by default
+    #[argh(option, default = "1.0")]
+    weight: f64,
+    /// change the organisation if it exists
+    #[argh(switch)]
+    replace: bool,
+}
+
+/// Lists the organisations.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+struct List {}
+
+/// Shows one organisation.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "show")]
+struct Show {
+    /// name
+    #[argh(positional)]
+    id: String,
+}
+
+/// Removes an organisation and withdraws its keys for good.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "remove")]
+struct Remove {
+    /// name
+    #[argh(positional)]
+    id: String,
+}
+
+const HEADER: [&str; 5] = ["ORGANISATION", "RATE/S", "BURST", "WEIGHT", "KEYS"];
+
+/// Runs the subcommand.
+pub async fn run(session: &mut Session, args: Args) -> Result<ExitCode> {
+    let config = session.config().await?;
+    let row = |id: &str, organisation: &Organisation| {
+        let Organisation { rate: Rate { per_second, burst }, weight } = organisation;
+        let owned = config.keys.values().filter(|key| !key.withdrawn && *key.organisation == *id);
+        vec![
+            id.to_owned(),
+            per_second.to_string(),
+            burst.to_string(),
+            weight.to_string(),
+            owned.count().to_string(),
+        ]
+    };
+    match args.action {
+        Action::Create(create) => {
+            let id: Box<str> = create.id.into();
+            let rate = Rate { per_second: create.rate, burst: create.burst };
+            let organisation = Organisation { rate, weight: create.weight };
+            let old = config.organisations.get(&id);
+            check_create("organisation", &id, old, &organisation, create.replace)?;
+            session.commit_one(&config, Change::PutOrganisation { id, organisation }).await
+        }
+        Action::List(List {}) => {
+            let rows = config.organisations.iter().map(|(id, o)| row(id, o)).collect();
+            session.list(&config.organisations, &HEADER, rows)
+        }
+        Action::Show(Show { id }) => {
+            let found = config.organisations.get(&*id);
+            let organisation = found.ok_or_else(|| missing("organisation", &id))?;
+            let one = BTreeMap::from([(&*id, organisation)]);
+            session.list(&one, &HEADER, vec![row(&id, organisation)])
+        }
+        Action::Remove(Remove { id }) => {
+            session.commit_one(&config, Change::RemoveOrganisation { id: id.into() }).await
+        }
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,10 @@
 //! Operators command line.
 
-fn main() {}
+mod cli;
+mod cmd;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::run()
+}
