--- /dev/null
+++ b/components/queue/tests/queue/fair.rs
@@ -0,0 +1,123 @@
+use std::time::Duration;
+
+use kernel::{Queue, QueueError, ServiceContext, Ticket, Uptime, build_queue};
+use queue::FairQueue;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn ticket(id: u64, organisation: &str, deadline: Uptime) -> Ticket {
+    Ticket { id, organisation: organisation.into(), share: 1.0, weight: 1.0, deadline }
+}
+
+/// A queue that has measured 50 ms for each request.
+fn warm() -> (FairQueue, Uptime) {
+    let mut queue = FairQueue::default();
+    for i in 0..200 {
+        queue.finished(MS * i * 10, "old", MS * 50);
+    }
+    (queue, MS * 2000)
+}
+
+/// Guards against a plug-in that is not linked or has another name.
+#[test]
+fn both_plugins_are_registered() {
+    let place = kernel::Place { region: "r".into(), domain: "d".into() };
+    let context = ServiceContext { service: "s".into(), place, vms: 1, floor: 0.5 };
+    for name in ["fair", "naive"] {
+        let mut queue = build_queue(name, &context).expect("registered");
+        queue.push(Uptime::ZERO, ticket(1, "a", MS * 1000), 4).expect("room");
+        assert_eq!(queue.pop(Uptime::ZERO), Some(1), "{name}");
+        assert!(queue.is_empty());
+    }
+}
+
+/// Guards against one organisation's flood refusing or delaying another's requests.
+#[test]
+fn flood_of_one_leaves_room_for_others() {
+    let (mut queue, now) = warm();
+    let refused =
+        (0..10_000).filter(|i| queue.push(now, ticket(*i, "flood", now + MS * 60_000), 4).is_err());
+    assert!(refused.count() > 8_000);
+    queue.push(now, ticket(20_000, "calm", now + MS * 300), 4).expect("the flood is another's");
+    let first: Vec<_> = (0..2).filter_map(|_| queue.pop(now)).collect();
+    assert!(first.contains(&20_000), "{first:?}");
+}
+
+/// Guards against accepting what will be late, and against refusing what is not.
+#[test]
+fn lateness_is_judged_by_own_backlog() {
+    let (mut queue, now) = warm();
+    // 4 slots of 50 ms finish 80 requests per second: 400 ms hold about 28 before the last start.
+    let accepted = (0..100).filter(|i| queue.push(now, ticket(*i, "a", now + MS * 400), 4).is_ok());
+    let accepted = accepted.count();
+    assert!((20..=32).contains(&accepted), "{accepted}");
+    let late = queue.push(now, ticket(200, "a", now + MS * 400), 4);
+    assert!(matches!(late, Err(QueueError::TooLate { retry }) if retry >= MS * 10), "{late:?}");
+    queue.push(now, ticket(201, "a", now + MS * 5000), 4).expect("has time");
+    queue.push(now, ticket(202, "a", now + MS * 100), 4).expect("earlier deadlines go first");
+    queue.push(now, ticket(203, "b", now + MS * 100), 4).expect("b has no backlog");
+    let hopeless = queue.push(now, ticket(204, "c", now + MS * 5), 4);
+    assert!(matches!(hopeless, Err(QueueError::TooLate { .. })));
+}
+
+/// Guards against lost or doubly reported tickets when a ticket lapses, is cancelled or returns.
+#[test]
+fn each_ticket_leaves_once() {
+    let (mut queue, now) = warm();
+    for id in 0..4 {
+        queue.push(now, ticket(id, "a", now + MS * 400), 4).expect("room");
+    }
+    assert!(queue.cancel(now, 1));
+    assert!(!queue.cancel(now, 1));
+    assert_eq!(queue.pop(now), Some(0));
+    queue.unpop(now, ticket(0, "a", now + MS * 400));
+    assert_eq!((queue.len(), queue.pop(now)), (3, Some(0)), "a returned ticket goes first");
+    queue.unpop(now, ticket(0, "a", now + MS * 400));
+    let later = now + MS * 399;
+    assert_eq!(queue.pop(later), None, "nothing can be in time");
+    assert!(queue.cancel(later, 3), "a lapsed ticket can be cancelled");
+    let mut late = queue.expire(later);
+    late.sort_unstable();
+    assert_eq!((late, queue.len()), (vec![0, 2], 0));
+    assert!(queue.expire(later).is_empty());
+}
+
+/// Guards against an organisation that was idle taking all slots when it comes back.
+#[test]
+fn idle_time_banks_no_credit() {
+    let (mut queue, mut now) = warm();
+    let mut id = 0;
+    let mut run = |queue: &mut FairQueue, names: &[&str], rounds: usize| {
+        let mut served = vec![0; names.len()];
+        for _ in 0..rounds {
+            for name in names {
+                id += 1;
+                queue
+                    .push(now, ticket(id * 2 + u64::from(*name == "b"), name, now + MS * 60_000), 1)
+                    .expect("room");
+            }
+            let popped = queue.pop(now).expect("backlog");
+            let name = if popped % 2 == 1 { "b" } else { "a" };
+            served[names.iter().position(|n| *n == name).expect("known")] += 1;
+            now += MS * 50;
+            queue.finished(now, name, MS * 50);
+        }
+        served
+    };
+    run(&mut queue, &["a"], 500);
+    let served = run(&mut queue, &["a", "b"], 100);
+    assert!(served[1] <= 52, "b had {} of 100", served[1]);
+}
+
+/// Guards against refusing everything for ever after a slow phase, with no run to learn from.
+#[test]
+fn slow_phase_is_forgotten() {
+    let mut queue = FairQueue::default();
+    for i in 0..200 {
+        queue.finished(MS * i * 100, "a", MS * 5000);
+    }
+    let now = MS * 20_000;
+    assert!(queue.push(now, ticket(1, "a", now + MS * 1000), 4).is_err());
+    let later = now + MS * 5000;
+    queue.push(later, ticket(2, "a", later + MS * 1000), 4).expect("the estimate has faded");
+}
--- /dev/null
+++ b/components/queue/tests/queue/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the queues.
+
+mod fair;
+mod fuzz;
+mod max_min;
