Add events, logs, metrics and traces

Every crate that runs in the daemon needs to report what happens. Events are a const table with number, level, name, meaning and action; the macro event! logs one by its constant, and repeats are limited and counted. docs/events.md is compared with the table in both directions. Logs are JSON lines or text over fern. Metrics are encoded as OpenMetrics text and name at most 15 organisations. Traces go to an OTLP collector by HTTP, with W3C context, a sampling ratio and ids from a seeded generator.

--- /dev/null
+++ b/components/telemetry/src/catalogue.rs
@@ -0,0 +1,118 @@
+use log::Level;
+
+use crate::Event;
+
+macro_rules! events {
+    ($($constant:ident = $number:literal, $level:ident, $name:literal, $meaning:literal, $action:literal;)*) => {
+        $(
+            #[doc = concat!("Event ", $number, ": ", $meaning)]
+            pub const $constant: Event = Event {
+                number: $number,
+                level: Level::$level,
+                name: $name,
+                meaning: $meaning,
+                action: $action,
+            };
+        )*
+
+        /// Every event, by number.
+        pub const EVENTS: &[Event] = &[$($constant,)*];
+    };
+}
+
+// The hundreds group events: 1 process, 2 membership, 3 configuration, 4 backend servers,
+// 5 rights, 6 platform, 7 requests, 8 operators. A number is never used for another event.
+events! {
+    STARTED = 101, Info, "started", "The process has started and listens.",
+        "Nothing.";
+    STOPPING = 102, Info, "stopping", "The process was asked to stop and drains.",
+        "Nothing; it exits after the drain time.";
+    STOPPED = 103, Info, "stopped", "The process has finished its requests and exits.",
+        "Nothing.";
+    SETTINGS_READ = 104, Info, "settings-read", "The settings are valid.",
+        "Nothing.";
+    SETTINGS_REFUSED = 105, Error, "settings-refused", "The settings have problems.",
+        "Correct each problem that is named and start again.";
+    LISTEN_FAILED = 106, Error, "listen-failed", "An address cannot be listened on.",
+        "Free the address or change it in the settings.";
+    CLOCK_JUMPED = 107, Warn, "clock-jumped", "The process was paused for longer than a tick.",
+        "If it repeats, look for an overloaded host.";
+    DRAIN_CUT = 108, Error, "drain-cut", "The process exits with requests unfinished.",
+        "Find what ended it before its drain time; raise `drain_ms` if it was the time.";
+    PEER_JOINED = 201, Info, "peer-joined", "Another VM was seen for the first time.",
+        "Nothing.";
+    PEER_SUSPECT = 202, Warn, "peer-suspect", "Another VM does not answer, directly or through others.",
+        "Nothing yet; look at the network if many VMs are suspect at once.";
+    PEER_DEAD = 203, Warn, "peer-dead", "Another VM counts as dead; its services move to the next home.",
+        "See that the VM is replaced.";
+    PEER_LEFT = 204, Info, "peer-left", "Another VM said that it leaves.",
+        "Nothing.";
+    PEER_REFUTED = 205, Info, "peer-refuted", "Another VM that was suspect or dead is alive.",
+        "If it repeats, look for a flapping link or a paused VM.";
+    PEER_REJECTED = 206, Error, "peer-rejected", "Another VM did not prove that it knows the fleet secret.",
+        "Compare `secrets.fleet` on both VMs; else look for an intruder.";
+    CONFIG_IN_FORCE = 301, Info, "config-in-force", "A newer version of the configuration is in effect here.",
+        "Nothing.";
+    CONFIG_STALE = 302, Error, "config-stale", "The configuration cannot be confirmed; keyed routes are refused.",
+        "Restore the network or the platform; the VM recovers by itself.";
+    CONFIG_CONFIRMED = 303, Info, "config-confirmed", "The configuration is confirmed again; all routes are served.",
+        "Nothing.";
+    SNAPSHOT_DAMAGED = 304, Error, "snapshot-damaged", "A snapshot does not match its checksum and is skipped.",
+        "Delete the object after the next snapshot was written.";
+    DELTA_UNREADABLE = 305, Error, "delta-unreadable", "A change of the configuration cannot be read by this release.",
+        "Update this VM.";
+    BACKEND_SUSPECTED = 401, Warn, "backend-suspected", "A backend server is suspect and used last.",
+        "Nothing yet.";
+    BACKEND_EJECTED = 402, Warn, "backend-ejected", "A backend server is ejected.",
+        "Look at the backend server; its health check may still pass.";
+    BACKEND_RESTORED = 403, Info, "backend-restored", "A backend server takes work again.",
+        "If trials show that the ejection was false, report it.";
+    EJECTION_WITHHELD = 404, Warn, "ejection-withheld", "A backend server stays in use because of the floor of its service.",
+        "Repair or add backend servers of this service.";
+    BACKEND_UNREACHABLE = 405, Warn, "backend-unreachable", "This VM cannot reach a backend server that others reach.",
+        "Look at the network between the two.";
+    CONNECTION_SILENT = 406, Warn, "connection-silent", "A connection went silent while others work, and was dropped.",
+        "Nothing; look at the network if it repeats.";
+    BACKEND_DRAINING = 407, Info, "backend-draining", "A backend server leaves and gets no new work.",
+        "Nothing.";
+    SERVICE_OVERLOADED = 408, Warn, "service-overloaded", "A whole service is overloaded; requests are shed.",
+        "Add backend servers or lower rates.";
+    RIGHTS_CLAIMED = 501, Info, "rights-claimed", "This VM holds more units of a right.",
+        "Nothing.";
+    RIGHTS_LOST = 502, Warn, "rights-lost", "This VM lost units of a right because its session ended.",
+        "If the platform was reachable, look for a paused VM.";
+    RIGHTS_RETURNED = 503, Info, "rights-returned", "This VM gave units of a right back.",
+        "Nothing.";
+    SESSION_AT_RISK = 504, Error, "session-at-risk", "The session was not renewed for most of its lease.",
+        "Restore the platform before the lease ends.";
+    STORE_AWAY = 601, Error, "store-away", "The platform's table cannot be reached.",
+        "Restore the platform; the fleet goes on with what it holds.";
+    STORE_BACK = 602, Info, "store-back", "The platform's table answers again.",
+        "Nothing.";
+    STORE_REPLY_LOST = 603, Warn, "store-reply-lost", "A write to the table has an unknown result and is read back.",
+        "Nothing; look at the network if it repeats.";
+    STORE_THROTTLED = 604, Warn, "store-throttled", "The platform refused a call over its budget.",
+        "If it lasts, find which VMs call too often.";
+    STORE_GARBLED = 605, Error, "store-garbled", "The platform's answer cannot be read.",
+        "Check `platform.address` and the platform's version.";
+    CRASH_SUSPECT = 701, Warn, "crash-suspect", "A request is suspected of crashing backend servers.",
+        "Nothing yet.";
+    CRASH_REFUSED = 702, Error, "crash-refused", "A request crashed two backend servers and is refused.",
+        "Tell the organisation; repair the fault that the request meets.";
+    WITHDRAWN_KEY_USED = 703, Warn, "withdrawn-key-used", "A request came with a withdrawn key and was refused.",
+        "Tell the organisation if it goes on.";
+    KEY_TABLE_FULL = 704, Error, "key-table-full", "No more idempotency keys can be kept; such requests are refused.",
+        "Add VMs, or find the caller that makes too many keys.";
+    LINK_BUDGET_SPENT = 705, Warn, "link-budget-spent", "The budget of the link between regions is spent.",
+        "Add backend servers in the region that forwards.";
+    CHANGE_ACCEPTED = 801, Info, "change-accepted", "An operator's change was accepted.",
+        "Nothing.";
+    CHANGE_CONFLICT = 802, Info, "change-conflict", "An operator's change was based on an older version and refused.",
+        "The operator reads the newer version and decides anew.";
+    CHANGE_UNCERTAIN = 803, Warn, "change-uncertain", "The result of an operator's change is not known yet.",
+        "The operator repeats it with the same change id.";
+    CHANGE_WITHOUT_MAJORITY = 804, Warn, "change-without-majority", "A change was refused because this VM hears from half of the VMs or fewer.",
+        "Repeat it on a VM in the larger part, or when the network is back.";
+    OPERATOR_REJECTED = 805, Warn, "operator-rejected", "An operator's token is not among those in the settings.",
+        "Check the token; else look for an intruder.";
+}
--- /dev/null
+++ b/components/telemetry/src/event.rs
@@ -0,0 +1,88 @@
+use std::sync::{LazyLock, Mutex, PoisonError};
+use std::time::Instant;
+
+use log::kv::Value;
+use log::{Level, Log, Record};
+
+use crate::events::EVENTS;
+use crate::{Repeat, Repeats};
+
+/// A numbered event.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Event {
+    /// Number, unique and never reused.
+    pub number: u16,
+    /// Severity.
+    pub level: Level,
+    /// Short name, unique.
+    pub name: &'static str,
+    /// What happened.
+    pub meaning: &'static str,
+    /// What an operator does.
+    pub action: &'static str,
+}
+
+/// Target of the log records of events.
+pub(crate) const TARGET: &str = "event";
+
+static REPEATS: LazyLock<(Instant, Mutex<Repeats>)> =
+    LazyLock::new(|| (Instant::now(), Mutex::default()));
+
+/// Logs an event with fields, such as `event!(PEER_DEAD, vm = name, incarnation = number)`.
+///
+/// Values are numbers, truth values and texts. An event that repeats too often is dropped and
+/// counted; its next record has the count in the field `dropped`.
+#[macro_export]
+macro_rules! event {
+    ($event:ident $(, $name:ident = $value:expr)* $(,)?) => {
+        $crate::emit(
+            &$crate::events::$event,
+            &[$((stringify!($name), $crate::log::kv::ToValue::to_value(&$value)),)*],
+        )
+    };
+}
+
+/// Logs an event through the logger of this process, unless it repeats too often.
+pub fn emit(event: &Event, fields: &[(&str, Value<'_>)]) {
+    if event.level > log::max_level() {
+        return;
+    }
+    let (start, repeats) = &*REPEATS;
+    let decision = {
+        let mut repeats = repeats.lock().unwrap_or_else(PoisonError::into_inner);
+        repeats.admit(start.elapsed(), event.number)
+    };
+    if let Repeat::Log { dropped } = decision {
+        write(log::logger(), event, dropped, fields);
+    }
+}
+
+/// Writes the record of an event to a logger. `dropped` counts its records dropped before.
+pub fn write(logger: &dyn Log, event: &Event, dropped: u64, fields: &[(&str, Value<'_>)]) {
+    let mut all = vec![("event", Value::from(event.number)), ("name", Value::from(event.name))];
+    all.extend_from_slice(fields);
+    if dropped > 0 {
+        all.push(("dropped", Value::from(dropped)));
+    }
+    let all = all.as_slice();
+    logger.log(
+        &Record::builder()
+            .level(event.level)
+            .target(TARGET)
+            .key_values(&all)
+            .args(format_args!("{}", event.meaning))
+            .build(),
+    );
+}
+
+/// The catalogue of events in Markdown, as `docs/events.md` has it.
+pub fn events_table() -> String {
+    let mut text = String::from(
+        "| number | level | name | meaning | what an operator does |\n|---|---|---|---|---|\n",
+    );
+    for Event { number, level, name, meaning, action } in EVENTS {
+        let level = level.as_str().to_lowercase();
+        text += &format!("| {number} | {level} | {name} | {meaning} | {action} |\n");
+    }
+    text
+}
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -1,1 +1,25 @@
 //! Numbered events, logs, traces and metrics.
+
+mod catalogue;
+mod event;
+mod logs;
+mod metrics;
+mod repeats;
+mod shares;
+mod traces;
+
+/// Every numbered event.
+pub mod events {
+    pub use crate::catalogue::*;
+}
+
+pub use event::{Event, emit, events_table, write};
+pub use log;
+pub use logs::{dispatch, init_logs};
+pub use metrics::{Metrics, PeerState, RequestOutcome, ServiceMetrics, StoreCall, StoreResult};
+pub use repeats::{Repeat, Repeats};
+pub use shares::{OrganisationShare, select_shares};
+pub use traces::{
+    Tracing, attempt_span, entry_span, extract_context, forward_span, inject_context,
+    platform_span, queue_span, start_traces,
+};
--- /dev/null
+++ b/components/telemetry/tests/metrics.rs
@@ -0,0 +1,68 @@
+//! Tests of the metrics.
+
+use std::time::Duration;
+
+use kernel::{EjectReason, PlatformError, RefusalKind};
+use telemetry::{
+    Metrics, OrganisationShare, PeerState, RequestOutcome, StoreCall, StoreResult, select_shares,
+};
+
+fn share(organisation: &str, served: f64, due: f64) -> OrganisationShare {
+    OrganisationShare { organisation: organisation.into(), served, due }
+}
+
+/// Guards against a metric that is counted and not shown, or shown under another name.
+#[test]
+fn every_metric_is_encoded() {
+    let metrics = Metrics::new();
+    let service = metrics.service("manus");
+    service.count_request(RequestOutcome::NotRun);
+    service.count_refused_within_rate();
+    metrics.count_refusal(RefusalKind::RateExceeded);
+    metrics.record_added(Duration::from_micros(1500), true);
+    metrics.record_detection(EjectReason::Stalled, Duration::from_millis(900));
+    metrics.count_ejection(EjectReason::Slow);
+    metrics.count_false_ejection();
+    metrics.set_shares(&[share("radio", 1.5, 2.0)]);
+    metrics.set_version(42);
+    metrics.set_peers(PeerState::Suspect, 3);
+    let lost: Result<(), _> = Err(PlatformError::ReplyLost("".into()));
+    metrics.count_store_call(StoreCall::Commit, StoreResult::from(&lost));
+    let text = metrics.encode().expect("text");
+    for line in [
+        r#"papayareel_requests_total{service="manus",outcome="not-run"} 1"#,
+        r#"papayareel_refused_within_rate_total{service="manus"} 1"#,
+        r#"papayareel_refusals_total{kind="rate-exceeded"} 1"#,
+        r#"papayareel_added_seconds_bucket{le="0.0016",forwarded="yes"} 1"#,
+        r#"papayareel_detection_seconds_bucket{le="1.0",reason="stalled"} 1"#,
+        r#"papayareel_ejections_total{reason="slow"} 1"#,
+        "papayareel_false_ejections_total 1",
+        r#"papayareel_share_served_seconds{organisation="radio"} 1.5"#,
+        r#"papayareel_share_due_seconds{organisation="radio"} 2.0"#,
+        "papayareel_config_version 42",
+        r#"papayareel_peers{state="suspect"} 3"#,
+        r#"papayareel_store_calls_total{call="commit",result="reply-lost"} 1"#,
+    ] {
+        assert!(text.contains(line), "{line} is not in:\n{text}");
+    }
+    metrics.forget_service("manus");
+    assert!(!metrics.encode().expect("text").contains("manus"));
+}
+
+/// Guards against metrics that grow with the number of organisations, or hide the worst served.
+#[test]
+fn shares_show_the_top_and_the_worst() {
+    let mut shares: Vec<_> = (0..1000).map(|n| share(&format!("o{n}"), 1.0, 1.0)).collect();
+    shares.push(share("large", 90.0, 100.0));
+    shares.push(share("starved", 0.1, 0.5));
+    shares.push(share("idle", 0.0, 0.0));
+    let chosen = select_shares(&shares, 1, 1);
+    assert_eq!(chosen, [share("large", 90.0, 100.0), share("starved", 0.1, 0.5)]);
+
+    let metrics = Metrics::new();
+    metrics.set_shares(&shares);
+    metrics.set_shares(&shares);
+    let text = metrics.encode().expect("text");
+    assert_eq!(text.matches("share_served_seconds{").count(), 15);
+    assert!(text.contains(r#"{organisation="starved"}"#));
+}
