Retry reads on closed connections and make switches atomic

A read on an idle connection that the platform had closed failed with ReplyLost; a read may run twice, so it is sent again on another connection. Two concurrent POST /control could undo each other, and the limit of the queue could be passed by one; both are now one step under a lock. Tests cover pause, connection limit and cold start too.

--- a/components/platform/src/http_platform.rs
+++ b/components/platform/src/http_platform.rs
@@ -106,12 +106,7 @@
         body: Vec<u8>,
     ) -> Result<Answer, PlatformError> {
         let by = Instant::now() + self.timeout;
-        let mut request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header(http::header::HOST, self.address.to_string())
-            .body(Full::new(Bytes::from(body)))
-            .map_err(garbled)?;
+        let body = Bytes::from(body);
         loop {
             let idle = self.take_idle();
             let reused = idle.is_some();
@@ -127,18 +122,25 @@
                 }
                 return Err(unreachable("the connection closed at once"));
             }
+            let request = Request::builder()
+                .method(&method)
+                .uri(path)
+                .header(http::header::HOST, self.address.to_string())
+                .body(Full::new(body.clone()))
+                .map_err(garbled)?;
             // From here on the request may have arrived, unless hyper hands it back.
             let sent = timeout_at(by, sender.try_send_request(request)).await;
             let response = match sent.map_err(|_| lost("no answer in time"))? {
                 Ok(response) => response,
-                Err(mut error) => match error.take_message() {
-                    Some(unsent) if reused => {
-                        request = unsent;
+                Err(mut error) => {
+                    let unsent = error.take_message().is_some();
+                    // The platform may close an idle connection at any time; a read may run twice.
+                    if reused && (unsent || method == Method::GET) {
                         continue;
                     }
-                    Some(_) => return Err(unreachable(error.into_error())),
-                    None => return Err(lost(error.into_error())),
-                },
+                    let error = error.into_error();
+                    return Err(if unsent { unreachable(error) } else { lost(error) });
+                }
             };
             let status = response.status();
             let body = timeout_at(by, Limited::new(response.into_body(), MAX_ANSWER).collect())
--- a/tools/standins/src/backend/slots.rs
+++ b/tools/standins/src/backend/slots.rs
@@ -23,6 +23,18 @@
     history: VecDeque<(Instant, Load)>,
 }
 
+impl State {
+    fn change(&mut self, change: impl FnOnce(&mut Load)) {
+        let now = Instant::now();
+        change(&mut self.load);
+        self.history.push_back((now, self.load));
+        // The newest of the old entries still says what the load was at that age.
+        while self.history.get(1).is_some_and(|(at, _)| now.duration_since(*at) > MAX_AGE) {
+            self.history.pop_front();
+        }
+    }
+}
+
 /// A slot in use; dropping it frees the slot.
 pub(crate) struct Slot {
     slots: Arc<Slots>,
@@ -53,15 +65,17 @@
 
     /// Changes the load and remembers the change.
     pub(crate) fn change(&self, change: impl FnOnce(&mut Load)) {
-        let now = Instant::now();
+        lock(&self.state).change(change);
+    }
+
+    /// Takes a place in the queue; none if it is full.
+    fn queue(&self) -> Option<Place<'_>> {
         let mut state = lock(&self.state);
-        change(&mut state.load);
-        let load = state.load;
-        state.history.push_back((now, load));
-        // The newest of the old entries still says what the load was at that age.
-        while state.history.get(1).is_some_and(|(at, _)| now.duration_since(*at) > MAX_AGE) {
-            state.history.pop_front();
+        if state.load.queued >= self.waiting {
+            return None;
         }
+        state.change(|load| load.queued += 1);
+        Some(Place(self))
     }
 
     /// The load as it was `lag` ago.
@@ -78,13 +92,7 @@
         let permit = match self.free.clone().try_acquire_owned() {
             Ok(permit) => permit,
             Err(_) => {
-                let place = {
-                    if lock(&self.state).load.queued >= self.waiting {
-                        return None;
-                    }
-                    self.change(|load| load.queued += 1);
-                    Place(self)
-                };
+                let place = self.queue()?;
                 let wait = self.free.clone().acquire_owned();
                 let permit = match by {
                     Some(by) => timeout_at(by, wait).await.ok()?,
--- a/tools/standins/src/backend/work.rs
+++ b/tools/standins/src/backend/work.rs
@@ -307,8 +307,7 @@
         let pause: Option<u64> = switch::take(&mut patch, "pause_ms")?;
         let silence: Option<bool> = switch::take(&mut patch, "silence")?;
         let crash: Option<bool> = switch::take(&mut patch, "crash")?;
-        let mut switches = self.switches.borrow().clone();
-        let former = switch::apply(&mut switches, patch)?;
+        let (former, switches) = switch::apply_watched(&self.switches, patch)?;
         let now = Instant::now();
         if let Some(millis) = pause {
             lock(&self.times).paused_until = now + Duration::from_millis(millis);
@@ -320,7 +319,6 @@
             self.slots.change(|load| load.draining = switches.draining);
         }
         self.door.refuse(switches.refuse);
-        self.switches.send_replace(switches);
         if crash == Some(true) {
             self.crash();
         }
--- a/tools/standins/src/platform.rs
+++ b/tools/standins/src/platform.rs
@@ -247,17 +247,17 @@
 
     fn control(&self, mut patch: Map<String, Value>) -> Result<Map<String, Value>, String> {
         let remove: Option<String> = switch::take(&mut patch, "remove_vm")?;
-        let mut switches = self.switches.borrow().clone();
-        // Lost replies are counted down in the memory platform.
-        self.memory.switch(|memory| switches.replies_lost = memory.replies_lost);
-        let former = switch::apply(&mut switches, patch)?;
+        let lost = patch.get("replies_lost").is_some();
+        let (former, switches) = switch::apply_watched(&self.switches, patch)?;
         self.memory.switch(|memory| {
-            memory.replies_lost = switches.replies_lost;
+            // The memory platform counts lost replies down; other changes leave the rest as it is.
+            if lost {
+                memory.replies_lost = switches.replies_lost;
+            }
             memory.delay = Duration::from_millis(switches.slow_ms);
             memory.list_lag = Duration::from_millis(switches.list_lag_ms);
         });
         self.door.refuse(switches.refuse);
-        self.switches.send_replace(switches);
         if let Some(vm) = remove {
             self.memory.remove_vm(&vm);
         }
--- a/tools/standins/src/switch.rs
+++ b/tools/standins/src/switch.rs
@@ -1,9 +1,10 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::{Map, Value};
+use tokio::sync::watch;
 
 /// Replaces the fields of `switches` that `patch` names; returns their former values.
-pub(crate) fn apply<T: Serialize + DeserializeOwned>(
+fn apply<T: Serialize + DeserializeOwned>(
     switches: &mut T,
     patch: Map<String, Value>,
 ) -> Result<Map<String, Value>, String> {
@@ -32,3 +33,16 @@
     let value = patch.remove(name).map(serde_json::from_value).transpose();
     value.map_err(|error| format!("{name}: {error}"))
 }
+
+/// Applies a patch to watched switches in one step; returns the former values and the new switches.
+pub(crate) fn apply_watched<T: Clone + Serialize + DeserializeOwned>(
+    switches: &watch::Sender<T>,
+    patch: Map<String, Value>,
+) -> Result<(Map<String, Value>, T), String> {
+    let mut result = Err(String::new());
+    switches.send_if_modified(|switches| {
+        result = apply(switches, patch).map(|former| (former, switches.clone()));
+        result.is_ok()
+    });
+    result
+}
--- a/tools/standins/tests/backend.rs
+++ b/tools/standins/tests/backend.rs
@@ -15,7 +15,7 @@
 use standins::Server;
 use standins::backend::{Options, serve};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// Time after which a request counts as unanswered. The stand-in answers in about 1 ms here.
 const SILENCE: Duration = Duration::from_millis(300);
@@ -201,6 +201,32 @@
     panic!("the switch was not restored");
 }
 
+/// Guards against a pause that lets anything through, or that never ends.
+#[tokio::test]
+async fn pause_holds_everything_back() {
+    let server = start(|_| {}).await;
+    let begin = Instant::now();
+    server.control(json!({"pause_ms": 400})).expect("switch");
+    assert_eq!(get(&server, "/healthz").await, json!({"healthy": true}));
+    assert!(begin.elapsed() >= Duration::from_millis(400));
+}
+
+/// Guards against a connection limit and a cold start that do nothing.
+#[tokio::test]
+async fn connections_are_limited_and_starts_are_cold() {
+    let server = start(|o| {
+        o.connections = 1;
+        (o.cold_start, o.cold_factor) = (Duration::from_secs(3600), 300.0);
+    })
+    .await;
+    let mut first = open(&server).await;
+    let begin = Instant::now();
+    assert!(send(&mut first, "/a", &[]).await.is_ok());
+    // A service time of 1 ms is far below 100 ms in any draw of this seed.
+    assert!(begin.elapsed() >= Duration::from_millis(100), "{:?}", begin.elapsed());
+    assert!(send(&mut open(&server).await, "/b", &[]).await.is_err());
+}
+
 /// Guards against health and load endpoints that cannot mislead.
 #[tokio::test]
 async fn health_and_load_lie() {
--- a/tools/standins/tests/platform.rs
+++ b/tools/standins/tests/platform.rs
@@ -132,6 +132,19 @@
     assert_eq!(server.seen(None)["writes"], json!(1));
 }
 
+/// Guards against a read that fails because its idle connection was closed in the meantime.
+#[tokio::test]
+async fn read_survives_a_closed_idle_connection() {
+    let (server, platform) = start(Options::default(), PATIENT).await;
+    for _ in 0..20 {
+        assert_eq!(platform.table.read("a").await, Ok(None));
+        let connections = server.seen(None)["connections"].clone();
+        assert_eq!(connections, json!(1), "the connection is used again");
+        server.control(json!({"refuse": true})).expect("switch");
+        server.control(json!({"refuse": false})).expect("switch");
+    }
+}
+
 /// Guards against an over-budget answer that is taken for an outage or a success.
 #[tokio::test]
 async fn over_budget_is_throttled() {
