Carry the sender's uptime in membership messages

Cause: a VM that was found through the platform's list never told its uptime, so that entry responses had no idempotency prefix for it.

Change: every membership message carries the sender's uptime.

--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -176,6 +176,10 @@
         }
         if let Some(member) = self.members.get_mut(&from) {
             member.heard = Some(now);
+            if message.up_ms > 0 {
+                let up = Duration::from_millis(message.up_ms).as_secs_f64();
+                member.started.get_or_insert(now.as_secs_f64() - up);
+            }
         }
         let stranger = !self.members.contains_key(&from);
         match message.kind {
@@ -320,6 +324,7 @@
             unknown: !self.members.contains_key(&to),
             version: self.version,
             freshness: now.saturating_sub(self.confirmed),
+            up_ms: now.as_millis() as u64,
             updates,
         })
     }
--- a/components/membership/src/message.rs
+++ b/components/membership/src/message.rs
@@ -107,6 +107,9 @@
     pub version: Version,
     /// How long ago the sender had confirmation that no newer version exists.
     pub freshness: Duration,
+    /// Time since the start of the sender's process, in milliseconds.
+    #[serde(default)]
+    pub up_ms: u64,
     /// Statements about VMs, bounded in number and bytes.
     pub updates: Vec<Update>,
 }
