Report repeated settings and bound what a stand-in keeps

A field given twice in the settings took its last value silently; it is now a problem with its path. A backend server stand-in kept up to 64 MiB of received text, too much for some 40 in one process; the amount is now an option, 16 MiB by default, and text beyond it is counted.

--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -7,6 +7,7 @@
 mod secret;
 mod settings;
 mod table;
+mod unique;
 
 pub use error::{Problem, SettingsError};
 pub use secret::Secret;
--- a/components/settings/src/settings.rs
+++ b/components/settings/src/settings.rs
@@ -5,7 +5,7 @@
 use kernel::{Place, VmId};
 
 use crate::raw::RawSettings;
-use crate::{Secret, SettingsError};
+use crate::{Problem, Secret, SettingsError, unique};
 
 /// The checked settings of the daemon.
 #[derive(Clone, Debug, PartialEq)]
@@ -170,15 +170,32 @@
 
     /// Checks the text of a settings file. The error names every problem at once.
     pub fn parse(text: &str) -> Result<Settings, SettingsError> {
-        let value: serde_json::Value = serde_json::from_str(text).map_err(SettingsError::Syntax)?;
+        let (value, repeated) = unique::parse(text).map_err(SettingsError::Syntax)?;
+        let mut problems: Vec<Problem> = Vec::new();
+        for path in repeated {
+            problems.push(Problem {
+                path: path.into(),
+                found: "a field that is given more than once".into(),
+                remedy: "keep one of them".into(),
+            });
+        }
         if !value.is_object() {
-            return Err(SettingsError::Invalid(vec![crate::Problem {
+            problems.push(Problem {
                 path: "(root)".into(),
                 found: "no JSON object".into(),
                 remedy: "put the settings into one JSON object".into(),
-            }]));
+            });
+            return Err(SettingsError::Invalid(problems));
         }
         let raw: RawSettings = serde_json::from_value(value).map_err(SettingsError::Syntax)?;
-        Settings::try_from(raw)
+        match Settings::try_from(raw) {
+            Ok(settings) if problems.is_empty() => Ok(settings),
+            Err(SettingsError::Invalid(more)) => {
+                problems.extend(more);
+                Err(SettingsError::Invalid(problems))
+            }
+            Err(error) => Err(error),
+            Ok(_) => Err(SettingsError::Invalid(problems)),
+        }
     }
 }
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -69,6 +69,17 @@
     assert_eq!(paths(&value), expected);
 }
 
+/// Guards against a repeated field whose first value is silently ignored.
+#[test]
+fn repeated_fields_are_reported() {
+    let text = minimal().to_string();
+    let twice =
+        text.replacen('{', r#"{"threads": 1, "threads": 2, "log": {"level": 1, "level": 2},"#, 1);
+    let error = Settings::parse(&twice).expect_err("repeated fields");
+    let paths: Vec<&str> = error.problems().iter().map(|p| &*p.path).collect();
+    assert_eq!(paths, ["threads", "log.level", "log.level"]);
+}
+
 /// Guards against secrets in logs and error messages.
 #[test]
 fn secrets_are_not_printed() {
--- a/tools/standins/src/backend/ledger.rs
+++ b/tools/standins/src/backend/ledger.rs
@@ -2,9 +2,6 @@
 
 use serde::Serialize;
 
-/// Most bytes of received text that are kept. Requests beyond it are counted in `forgotten`.
-const MAX_TEXT: usize = 64 << 20;
-
 /// Counts of what became of requests.
 #[derive(Clone, Debug, Default, Serialize)]
 pub(crate) struct Counts {
@@ -42,9 +39,9 @@
 }
 
 impl Ledger {
-    /// Keeps received bytes for later questions.
-    pub(crate) fn keep(&mut self, bytes: Vec<u8>) {
-        if self.size + bytes.len() > MAX_TEXT {
+    /// Keeps received bytes for later questions, up to `most` in all.
+    pub(crate) fn keep(&mut self, bytes: Vec<u8>, most: usize) {
+        if self.size + bytes.len() > most {
             self.forgotten += 1;
             return;
         }
--- a/tools/standins/src/backend/options.rs
+++ b/tools/standins/src/backend/options.rs
@@ -32,6 +32,8 @@
     pub connect_cost: Duration,
     /// Cost of an answer of the health or load endpoint.
     pub probe_cost: Duration,
+    /// Received bytes that are kept for `GET /seen?text=`; what is beyond is counted as forgotten.
+    pub keep_bytes: usize,
     /// Whether a crash ends the process. If not, it closes all connections and starts cold.
     pub exit_on_crash: bool,
 }
@@ -50,6 +52,8 @@
             cold_factor: 3.0,
             connect_cost: Duration::from_millis(1),
             probe_cost: Duration::from_millis(25),
+            // Some 40 backend servers in one process stay below 1 GB.
+            keep_bytes: 16 << 20,
             exit_on_crash: false,
         }
     }
--- a/tools/standins/src/backend/work.rs
+++ b/tools/standins/src/backend/work.rs
@@ -267,14 +267,14 @@
         {
             let mut ledger = lock(&self.ledger);
             ledger.counts.received += 1;
-            ledger.keep(head_text(&head));
+            ledger.keep(head_text(&head), self.options.keep_bytes);
         }
         if matches!(head.uri.path(), "/healthz" | "/load") {
             return self.probe(head.uri.path()).await;
         }
         let body = body.collect().await.map_err(|_| Hangup)?.to_bytes();
         if !body.is_empty() {
-            lock(&self.ledger).keep(body.to_vec());
+            lock(&self.ledger).keep(body.to_vec(), self.options.keep_bytes);
         }
         self.run(connection, head, body).await
     }
--- a/tools/standins/tests/backend.rs
+++ b/tools/standins/tests/backend.rs
@@ -94,6 +94,14 @@
     assert_eq!(get(&server, "/seen").await["runs"]["k1"], json!(2));
 }
 
+/// Guards against an answer "not present" that rests on text that was not kept.
+#[tokio::test]
+async fn forgotten_text_is_counted() {
+    let server = start(|o| o.keep_bytes = 0).await;
+    assert!(send(&mut open(&server).await, "/a", &[]).await.is_ok());
+    assert_eq!(server.seen(Some("/a"))["forgotten"], json!(2));
+}
+
 /// Guards against a gray failure that shows in the health endpoint, and a stall that does not end.
 #[tokio::test]
 async fn stall_passes_health_checks_and_ends() {
