Bring the crash guard, spill-over and HTTP/2 between VMs into the request path

Cause: a request that crashes backend servers could be sent on without bound; a region whose backend servers are busy never used the other region; a silent connection between VMs held requests until their deadline.

Change: every attempt asks the crash guard of its home, whose messages ride on the peer calls; homes report free slots to the other regions and send requests there within the budget of the link; VMs forward over one HTTP/2 connection each, whose pings find silence within 1.5 s.

--- a/components/node/src/bus.rs
+++ b/components/node/src/bus.rs
@@ -79,6 +79,9 @@
         let vms: Vec<_> = self.membership().live().cloned().collect();
         let incarnations: Vec<Incarnation> = vms.iter().map(|vm| vm.incarnation).collect();
         self.peers.retain(|address| vms.iter().any(|vm| vm.peers == *address));
+        if let Some(engine) = self.engine() {
+            engine.retain_vms(|incarnation| incarnations.contains(&incarnation));
+        }
         self.view.store(Arc::new(View::new(vms)));
         self.limiter().set_vms(self.now(), &incarnations);
     }
--- a/components/node/src/fleet.rs
+++ b/components/node/src/fleet.rs
@@ -7,8 +7,9 @@
     Admission, EjectReason, PlatformError, ServiceContext, Transaction, VmEntry, build_balancer,
     build_detector, build_queue,
 };
+use peers::Message;
 use proxy::{Fleet, HomeOptions, RequestRecord};
-use retry::Claimed;
+use retry::{Claimed, CrashMessage};
 use serde::{Deserialize, Serialize};
 
 use crate::shared::Shared;
@@ -109,11 +110,27 @@
         self.0.view.load().homes(service, region)
     }
 
-    fn spill(&self, service: &str, _weight: f64, _bytes: usize) -> Vec<RegionId> {
-        self.0.view.load().other_regions(service, &self.0.me.place.region)
+    fn service_homes(&self, service: &str) -> Vec<Incarnation> {
+        self.0.view.load().service_homes(service)
     }
 
-    fn count_link(&self, _bytes: usize) {}
+    fn send_crash(&self, to: Incarnation, service: &str, message: CrashMessage) {
+        if let Some(vm) = self.0.view.load().vm(to) {
+            self.0.send(vm.peers, vec![Message::Crash(service.into(), message)]);
+        }
+    }
+
+    fn spill(&self, service: &str, weight: f64, bytes: usize) -> Option<VmEntry> {
+        let now = self.0.now();
+        let view = self.0.view.load();
+        let services = self.0.lookup.load().config.services.len();
+        let free = self.0.spill().choose(now, service, services, weight, bytes as u64)?;
+        view.vm(free).cloned()
+    }
+
+    fn settle_link(&self, service: &str, bytes: u64) {
+        self.0.spill().settle(self.0.now(), service, bytes);
+    }
 
     fn vm(&self, incarnation: Incarnation) -> Option<VmEntry> {
         self.0.membership().find(incarnation).cloned()
--- a/components/node/src/handler.rs
+++ b/components/node/src/handler.rs
@@ -35,7 +35,15 @@
                     shared.hear_version(version, None, vm.peers);
                 }
             }
-            Message::Crash(..) | Message::FreeSlots(..) => {}
+            Message::Crash(service, message) => {
+                // A home that is not open yet is opened: its other homes wait for its answer.
+                if let Some(home) = shared.engine().and_then(|e| e.home(&service).ok()) {
+                    home.receive_crash(from, message);
+                }
+            }
+            Message::FreeSlots(service, free) => {
+                shared.spill().note(now, &service, from, free);
+            }
         }
     }
 
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod recent;
 mod rights;
 mod shared;
+mod spill;
 mod start;
 mod view;
 
--- a/components/node/src/loops.rs
+++ b/components/node/src/loops.rs
@@ -2,6 +2,7 @@
 
 use kernel::VmState;
 use kernel::prelude::*;
+use peers::Message;
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::shared::Shared;
@@ -13,6 +14,8 @@
 /// Period of the reads of the platform's list. It lags by minutes, so that a faster one finds
 /// little more.
 const LIST_TICK: Duration = Duration::from_secs(5);
+/// Period of the reports of free slots between the homes of a service.
+const REPORT_TICK: Duration = Duration::from_millis(200);
 /// Period in which idle connections to backend servers are looked for.
 const IDLE_TICK: Duration = Duration::from_secs(5);
 
@@ -85,6 +88,29 @@
         }
     }
 
+    /// Tells the homes of the other regions how many slots are free here.
+    pub async fn run_reports(self: &Arc<Self>) {
+        let mut ticks = every(REPORT_TICK);
+        loop {
+            ticks.tick().await;
+            let view = self.view.load_full();
+            for (id, home) in self.engine().map(|e| e.homes()).unwrap_or_default() {
+                let homes = view.service_homes(&id);
+                if !homes.contains(&self.me.incarnation) {
+                    continue;
+                }
+                let (usable, used, waiting) = home.load();
+                let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+                let free = usable.saturating_sub(used).saturating_sub(waiting);
+                for vm in homes.iter().filter(|i| **i != self.me.incarnation) {
+                    if let Some(vm) = view.vm(*vm) {
+                        self.send(vm.peers, vec![Message::FreeSlots(id.clone(), free)]);
+                    }
+                }
+            }
+        }
+    }
+
     /// Leaves the entry responses and the platform's list.
     pub async fn leave(self: &Arc<Self>) {
         self.flags.stop();
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -17,6 +17,7 @@
 use crate::random::{Random, new_incarnation};
 use crate::recent::RecentDeltas;
 use crate::rights::ClaimRequest;
+use crate::spill::Spill;
 use crate::view::View;
 
 /// State of one VM that its tasks share.
@@ -51,6 +52,7 @@
     pub install: tokio::sync::Mutex<()>,
     /// Backend servers that this VM holds ejected, with the reason and the time.
     ejected: Mutex<HashMap<(ServiceId, BackendId), (EjectReason, Uptime)>>,
+    spill: Mutex<Spill>,
     membership: Mutex<Membership>,
     limiter: Mutex<Box<dyn Limiter>>,
     engine: OnceLock<Arc<Engine>>,
@@ -90,6 +92,7 @@
             holder: tokio::sync::Mutex::new(holder),
             install: tokio::sync::Mutex::default(),
             ejected: Mutex::default(),
+            spill: Mutex::default(),
             flags: Flags::default(),
             recent: RecentDeltas::default(),
             engine: OnceLock::new(),
@@ -124,6 +127,11 @@
         self.limiter.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The spill-over to other regions.
+    pub fn spill(&self) -> MutexGuard<'_, Spill> {
+        self.spill.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The request path; none until it is set.
     pub fn engine(&self) -> Option<&Arc<Engine>> {
         self.engine.get()
--- /dev/null
+++ b/components/node/src/spill.rs
@@ -0,0 +1,90 @@
+use std::collections::HashMap;
+
+use balancer::{Direction, LinkBudget};
+use kernel::prelude::*;
+
+/// Bytes per second of the link between regions, each way: 30 Mbit/s.
+const LINK_RATE: f64 = 3_750_000.0;
+/// Part of the link for requests that spill over; the rest is for control and other traffic.
+const SPILL_PART: f64 = 0.5;
+/// Time of the rate that a service may send at once.
+const BURST: f64 = 0.25;
+/// Bytes of a head.
+const HEAD_BYTES: u64 = 1024;
+/// Length that a response is expected to have before one was seen.
+const FIRST_RESPONSE: f64 = 16_384.0;
+/// Weight of the newest response in the mean length.
+const NEWEST: f64 = 0.1;
+/// A report of free slots is trusted for this long; they come every 200 ms.
+const REPORT_VALID: Duration = Duration::from_secs(1);
+
+struct Report {
+    free: u32,
+    at: Uptime,
+}
+
+struct Link {
+    budget: LinkBudget,
+    /// Mean length of a response in bytes.
+    mean: f64,
+}
+
+/// Spill-over of the services that this VM is home of to other regions.
+#[derive(Default)]
+pub struct Spill {
+    /// Free slots by service and home in another region, lowered with every request sent there.
+    reports: HashMap<ServiceId, HashMap<Incarnation, Report>>,
+    links: HashMap<ServiceId, Link>,
+}
+
+impl Spill {
+    /// Takes a report of free slots from the home of another region.
+    pub fn note(&mut self, now: Uptime, service: &str, from: Incarnation, free: u32) {
+        let reports = self.reports.entry(service.into()).or_default();
+        reports.retain(|_, report| now < report.at + REPORT_VALID);
+        reports.insert(from, Report { free, at: now });
+    }
+
+    /// Chooses a home in another region for a request, within the budget of the link.
+    ///
+    /// The link is split evenly over the services, because the homes of one region do not see
+    /// what the others send.
+    pub fn choose(
+        &mut self,
+        now: Uptime,
+        service: &str,
+        services: usize,
+        weight: f64,
+        bytes: u64,
+    ) -> Option<Incarnation> {
+        let reports = self.reports.get_mut(service)?;
+        let (home, report) = reports
+            .iter_mut()
+            .filter(|(_, report)| report.free > 0 && now < report.at + REPORT_VALID)
+            .max_by_key(|(_, report)| report.free)?;
+        let rate = LINK_RATE * SPILL_PART / services.max(1) as f64;
+        let link = self.links.entry(service.into()).or_insert_with(|| Link {
+            budget: LinkBudget::new(now, rate, rate * BURST),
+            mean: FIRST_RESPONSE,
+        });
+        let back = link.mean as u64 + HEAD_BYTES;
+        if !link.budget.admit(now, bytes + HEAD_BYTES, back, weight) {
+            return None;
+        }
+        report.free -= 1;
+        Some(*home)
+    }
+
+    /// Corrects the budget by the length of a response.
+    pub fn settle(&mut self, now: Uptime, service: &str, bytes: u64) {
+        let Some(link) = self.links.get_mut(service) else { return };
+        let expected = link.mean as u64;
+        if bytes < expected {
+            link.budget.give_back(now, Direction::In, expected - bytes);
+        } else {
+            // A debt is paid by the next requests: without tokens they are not let through.
+            let _ = link.budget.take_chunk(now, Direction::In, bytes - expected);
+        }
+        link.mean += NEWEST * (bytes as f64 - link.mean);
+    }
+}
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -134,6 +134,8 @@
     tokio::spawn(async move { limiter.run_limiter().await });
     let homes = Arc::clone(shared);
     tokio::spawn(async move { homes.run_homes().await });
+    let reports = Arc::clone(shared);
+    tokio::spawn(async move { reports.run_reports().await });
     let rights = Arc::clone(shared);
     tokio::spawn(async move { rights.keep_rights().await });
 }
--- a/components/node/src/view.rs
+++ b/components/node/src/view.rs
@@ -1,7 +1,7 @@
 use std::collections::HashMap;
 use std::sync::{Mutex, PoisonError};
 
-use balancer::{rank_homes, rank_regions};
+use balancer::{rank_arbiters, rank_homes};
 use kernel::VmEntry;
 use kernel::prelude::*;
 
@@ -12,12 +12,14 @@
     pub vms: Vec<VmEntry>,
     /// Rankings by service and region.
     ranked: Mutex<HashMap<(ServiceId, RegionId), Vec<VmEntry>>>,
+    /// Homes of all regions by service.
+    arbiters: Mutex<HashMap<ServiceId, Vec<Incarnation>>>,
 }
 
 impl View {
     /// A view of these VMs.
     pub fn new(vms: Vec<VmEntry>) -> Self {
-        View { vms, ranked: Mutex::default() }
+        View { vms, ranked: Mutex::default(), arbiters: Mutex::default() }
     }
 
     /// VMs that may be home of the service in a region, best first.
@@ -36,10 +38,22 @@
         self.vms.iter().find(|vm| vm.incarnation == incarnation)
     }
 
-    /// Regions other than the own one, in the order in which the service spills over to them.
-    pub fn other_regions(&self, service: &str, own: &str) -> Vec<RegionId> {
-        let mut regions = rank_regions(service, own, &self.vms);
-        regions.retain(|r| &**r != own);
-        regions
+    /// Homes of a service in all regions, best first.
+    pub fn service_homes(&self, service: &str) -> Vec<Incarnation> {
+        let mut order = self.arbiters.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(order) = order.get(service) {
+            return order.clone();
+        }
+        let mut regions: Vec<&RegionId> = self.vms.iter().map(|vm| &vm.place.region).collect();
+        regions.sort_unstable();
+        regions.dedup();
+        let homes: Vec<Incarnation> = regions
+            .into_iter()
+            .filter_map(|region| self.homes(service, region).first().map(|vm| vm.incarnation))
+            .collect();
+        let mut ranked = rank_arbiters(service, &self.vms);
+        ranked.retain(|vm| homes.contains(vm));
+        order.insert(service.into(), ranked.clone());
+        ranked
     }
 }
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use kernel::AttemptOutcome;
 use kernel::prelude::*;
+use retry::Verdict;
 
 use crate::body::Body;
 use crate::call::{Call, pass_on};
@@ -42,8 +43,6 @@
 pub struct Failure {
     /// Whether the backend server can have run the request.
     pub sent: Sent,
-    /// Whether the connection broke while the backend server had the request.
-    pub crashed: bool,
     /// The answer if nothing better can be done.
     pub refusal: Refusal,
 }
@@ -54,13 +53,22 @@
             Sent::Maybe => Refusal::unknown(kind, message),
             Sent::No | Sent::RefusedUnrun => Refusal::not_run(kind, message),
         };
-        Failure { sent, crashed: false, refusal }
+        Failure { sent, refusal }
+    }
+}
+
+impl Failure {
+    /// A failure of a request that the crash guard does not let run now.
+    pub fn held_back() -> Self {
+        let message = "the request may have crashed a backend server; retry in a second";
+        let refusal = Refusal::not_run(RefusalKind::CrashSuspect, message);
+        Failure { sent: Sent::No, refusal }
     }
 }
 
 impl From<Refusal> for Failure {
     fn from(refusal: Refusal) -> Self {
-        Failure { sent: Sent::No, crashed: false, refusal }
+        Failure { sent: Sent::No, refusal }
     }
 }
 
@@ -81,6 +89,10 @@
     // The key may have been withdrawn, and the deadline may have passed, while the request waited.
     call.recheck(&fleet.lookup())?;
     let left = call.left(fleet.now())?;
+    if slot.guard(&call.fingerprint()) != Verdict::Run {
+        // Another copy became a suspect while this one waited for its slot.
+        return Err(Failure::held_back());
+    }
     slot.mark_sent(connection.reused);
     let silent = slot.silent.clone();
     tokio::select! {
@@ -96,9 +108,7 @@
             Err(error) => {
                 slot.end(AttemptOutcome::Reset);
                 let kind = RefusalKind::BackendFailed;
-                let mut failure = Failure::new(Sent::Maybe, kind, error.to_string());
-                failure.crashed = true;
-                Err(failure)
+                Err(Failure::new(Sent::Maybe, kind, error.to_string()))
             }
         },
         () = silent.cancelled() => {
--- a/components/proxy/src/call.rs
+++ b/components/proxy/src/call.rs
@@ -2,6 +2,7 @@
 use config::{Access, KeyDigest, Lookup, digest_key};
 use http::{HeaderMap, Method, request};
 use kernel::prelude::*;
+use retry::{Fingerprint, RequestDigest};
 
 use crate::headers::{DEADLINE_HEADER, FLEET_HEADERS, HOP_HEADERS, IDEMPOTENCY_HEADER, KEY_HEADER};
 
@@ -99,6 +100,12 @@
         })
     }
 
+    /// What the crash guard knows the request by.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let digest = RequestDigest::of(self.method.as_str(), &self.target, &self.body);
+        Fingerprint::of(&self.organisation, &self.route, &digest)
+    }
+
     /// Checks that the key still gives access; it may have been withdrawn since.
     pub fn recheck(&self, lookup: &Lookup) -> Result<(), Refusal> {
         let Some(digest) = &self.key else {
--- a/components/proxy/src/engine.rs
+++ b/components/proxy/src/engine.rs
@@ -8,7 +8,7 @@
 use retry::{AnswerLimits, AnswerTable, IdempotencyKey};
 
 use crate::answer::{outcome, refuse};
-use crate::attempt::Sent;
+use crate::attempt::{Failure, Sent};
 use crate::body::{Body, collect};
 use crate::call::Call;
 use crate::entry;
@@ -17,6 +17,7 @@
 use crate::forward::{Forwarder, MAX_HOPS};
 use crate::headers::{ENTRY_PATH, REQUEST_ID_HEADER};
 use crate::home::Home;
+use crate::run::RunError;
 
 /// Settings of the request path.
 #[derive(Clone, Debug)]
@@ -69,6 +70,11 @@
         homes.iter().map(|(id, home)| (id.clone(), Arc::clone(home))).collect()
     }
 
+    /// Drops the connections to VMs that are gone.
+    pub fn retain_vms(&self, keep: impl Fn(Incarnation) -> bool) {
+        self.forwarder.retain(keep);
+    }
+
     /// Takes over the backend servers of the configuration in force.
     pub fn refresh(&self) {
         let lookup = self.fleet.lookup();
@@ -89,7 +95,8 @@
         all.iter().filter(|b| b.place.region == *region).cloned().collect()
     }
 
-    pub(crate) fn home(&self, id: &str) -> Result<Arc<Home>, Refusal> {
+    /// The home of a service on this VM; it is opened if it is not open.
+    pub fn home(&self, id: &str) -> Result<Arc<Home>, Refusal> {
         let open = self.homes.read().unwrap_or_else(PoisonError::into_inner).get(id).cloned();
         if let Some(home) = open {
             return Ok(home);
@@ -186,7 +193,7 @@
             && call.hops == 0
             && let Some(home) = self.other_home(&call)
         {
-            match self.forwarder.send(&call, home.callers, self.fleet.now()).await {
+            match self.forwarder.send(&call, &home, self.fleet.now()).await {
                 Ok(response) => return Ok(response),
                 Err(failure) if failure.sent == Sent::Maybe => return Err(failure.refusal),
                 // This VM may claim the key as well.
@@ -212,7 +219,7 @@
             return Err(lost());
         }
         let vm = self.fleet.vm(to).ok_or_else(lost)?;
-        self.forwarder.send(&call, vm.callers, self.fleet.now()).await.map_err(|failure| {
+        self.forwarder.send(&call, &vm, self.fleet.now()).await.map_err(|failure| {
             // An earlier request with the key may have run, so that this one is unknown too.
             if failure.sent == Sent::Maybe { failure.refusal } else { lost() }
         })
@@ -239,7 +246,7 @@
         // that disagree on the home do not pass it back and forth.
         let first = call.hops == 0 || (call.cleared && call.hops < MAX_HOPS);
         if first && let Some(home) = self.other_home(&call) {
-            match self.forwarder.send(&call, home.callers, self.fleet.now()).await {
+            match self.forwarder.send(&call, &home, self.fleet.now()).await {
                 Ok(response) => return Ok(response),
                 Err(failure) if failure.sent == Sent::Maybe && !call.idempotent => {
                     return Err(failure.refusal);
@@ -261,33 +268,51 @@
             call.admitted = true;
         }
         let home = self.home(&call.service)?;
-        if call.hops < MAX_HOPS
-            && let Some(region) = self.spill_region(&home, &call)
-            && let Some(vm) = self.fleet.homes(&call.service, &region).into_iter().next()
-        {
-            match self.forwarder.send(&call, vm.callers, self.fleet.now()).await {
+        if let Some(vm) = self.spill_to(&home, &call) {
+            match self.forwarder.send(&call, &vm, self.fleet.now()).await {
                 Ok(response) if outcome(response.headers()) != Some(Outcome::NotRun) => {
-                    self.fleet.count_link(call.body.len());
+                    let length = http_body::Body::size_hint(response.body()).lower();
+                    self.fleet.settle_link(&call.service, length);
                     return Ok(response);
                 }
                 Err(failure) if failure.sent == Sent::Maybe && !call.idempotent => {
                     return Err(failure.refusal);
                 }
-                Err(failure) if failure.sent == Sent::Maybe => return doubt(home.run(&call).await),
+                Err(failure) if failure.sent == Sent::Maybe => {
+                    return doubt(self.run_at(&home, &call).await);
+                }
                 // The other region did not run it; this one still may.
                 _ => {}
             }
         }
-        home.run(&call).await
+        self.run_at(&home, &call).await
     }
 
-    /// Region to send the request to, if this region's backend servers can take no work.
-    fn spill_region(&self, home: &Home, call: &Call) -> Option<RegionId> {
-        let (usable, _, _) = home.load();
-        if usable > 0 {
+    /// Runs the request at a home of this VM, or sends it to the arbiter of the crash guard.
+    async fn run_at(&self, home: &Arc<Home>, call: &Call) -> Result<Response<Body>, Refusal> {
+        let arbiter = match home.run(call).await {
+            Ok(response) => return Ok(response),
+            Err(RunError::Refused(refusal)) => return Err(refusal),
+            Err(RunError::GoTo(arbiter)) => arbiter,
+        };
+        let held_back = || Failure::held_back().refusal.retry_after(Duration::from_secs(1));
+        if call.hops >= MAX_HOPS {
+            return Err(held_back());
+        }
+        let vm = self.fleet.vm(arbiter).ok_or_else(held_back)?;
+        let sent = self.forwarder.send(call, &vm, self.fleet.now()).await;
+        sent.map_err(|failure| failure.refusal)
+    }
+
+    /// VM in another region to send the request to, if the backend servers here are busy.
+    fn spill_to(&self, home: &Home, call: &Call) -> Option<VmEntry> {
+        if call.hops >= MAX_HOPS {
             return None;
         }
-        self.fleet.spill(&call.service, call.weight, call.body.len()).into_iter().next()
+        let (usable, _, waiting) = home.load();
+        // With half a round of slots waiting, the wait is longer than the way to the other region.
+        let busy = usable == 0 || waiting > usable as usize / 2;
+        busy.then(|| self.fleet.spill(&call.service, call.weight, call.body.len())).flatten()
     }
 
     /// Waits for a token of the organisation's rate.
--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -4,7 +4,7 @@
 use futures::future::BoxFuture;
 use kernel::prelude::*;
 use kernel::{Admission, EjectReason, VmEntry};
-use retry::Claimed;
+use retry::{Claimed, CrashMessage};
 
 use crate::home::HomeOptions;
 
@@ -37,11 +37,18 @@
     /// VMs that may be home of the service in a region, best first.
     fn homes(&self, service: &str, region: &str) -> Vec<VmEntry>;
 
-    /// Regions other than the own one whose homes can take work of the service now, best first.
-    fn spill(&self, service: &str, weight: f64, bytes: usize) -> Vec<RegionId>;
+    /// Homes of a service in all regions, the arbiter of its crash guard first.
+    fn service_homes(&self, service: &str) -> Vec<Incarnation>;
 
-    /// Counts bytes that crossed the link between regions.
-    fn count_link(&self, bytes: usize);
+    /// Sends a message to the crash guard of another home.
+    fn send_crash(&self, to: Incarnation, service: &str, message: CrashMessage);
+
+    /// Home in another region that has free slots for the service, if the budget of the link
+    /// between the regions allows `bytes` and the expected response.
+    fn spill(&self, service: &str, weight: f64, bytes: usize) -> Option<VmEntry>;
+
+    /// Corrects the budget of the link by the true length of a response.
+    fn settle_link(&self, service: &str, bytes: u64);
 
     /// The VM with this incarnation, if it is believed alive.
     fn vm(&self, incarnation: Incarnation) -> Option<VmEntry>;
--- a/components/proxy/src/home.rs
+++ b/components/proxy/src/home.rs
@@ -1,5 +1,6 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
 use kernel::prelude::*;
 use kernel::{
@@ -8,7 +9,7 @@
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use retry::{HedgePolicy, RetryBudget};
+use retry::{CrashAction, CrashGuard, CrashMessage, HedgePolicy, RetryBudget};
 use slotmap::{Key, KeyData, SlotMap, new_key_type};
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
@@ -59,6 +60,7 @@
     next_attempt: AttemptId,
     budget: RetryBudget,
     hedge: HedgePolicy,
+    guard: CrashGuard,
 }
 
 /// A slot that was reserved and still has to be handed over.
@@ -91,6 +93,7 @@
             next_attempt: 0,
             budget: RetryBudget::default(),
             hedge: HedgePolicy::default(),
+            guard: CrashGuard::new(fleet.me().incarnation),
         };
         Arc::new(Home { service, fleet, state: Mutex::new(state) })
     }
@@ -116,6 +119,48 @@
         act(&mut state.budget, &mut state.hedge)
     }
 
+    /// Uses the crash guard and sends what it wants sent.
+    pub(crate) fn with_guard<T>(&self, act: impl FnOnce(Uptime, &mut CrashGuard) -> T) -> T {
+        let now = self.now();
+        let (result, actions) = {
+            let state = &mut *self.lock();
+            let result = act(now, &mut state.guard);
+            (result, state.guard.poll(now))
+        };
+        for CrashAction::Send { to, message } in actions {
+            self.fleet.send_crash(to, &self.service, message);
+        }
+        result
+    }
+
+    /// Takes a message of the crash guard of another home.
+    pub fn receive_crash(&self, from: Incarnation, message: CrashMessage) {
+        self.with_guard(|now, guard| guard.receive(now, from, message));
+    }
+
+    /// Finds out whether a backend server died when a connection broke: it does not accept
+    /// connections, or no connection of before has survived.
+    pub(crate) fn check_death(self: &Arc<Self>, backend: &str, pool: &Arc<Pool>) {
+        /// Time in which the other connections of a dead process break as well.
+        const SETTLE: Duration = Duration::from_millis(50);
+        let (home, pool) = (Arc::clone(self), Arc::clone(pool));
+        let backend = BackendId::from(backend);
+        let broke = Instant::now();
+        let since = self.now();
+        tokio::spawn(async move {
+            tokio::time::sleep(SETTLE).await;
+            let accepts = pool.checkout(Duration::ZERO).await.is_ok();
+            let alive = accepts && pool.has_survivor(broke);
+            home.with_guard(|now, guard| {
+                if alive {
+                    guard.backend_alive(&backend, since);
+                } else {
+                    guard.backend_died(now, &backend);
+                }
+            });
+        });
+    }
+
     /// Replaces the set of backend servers.
     pub fn set_backends(self: &Arc<Self>, backends: &[BackendSpec]) {
         let now = self.now();
@@ -252,6 +297,8 @@
         for action in actions {
             self.act(action);
         }
+        let homes = self.fleet.service_homes(&self.service);
+        self.with_guard(|_, guard| guard.set_homes(&homes));
         self.pump();
     }
 
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -12,6 +12,7 @@
 mod framing;
 mod headers;
 mod home;
+mod link;
 mod pool;
 mod prefixed;
 mod run;
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -1,4 +1,6 @@
+use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -42,7 +44,11 @@
     }
 }
 
+/// Connections that are open, by number, with the time at which they were opened.
+type Open = Arc<Mutex<HashMap<u64, Instant>>>;
+
 struct Idle {
+    number: u64,
     sender: SendRequest<Full<Bytes>>,
     since: Instant,
 }
@@ -52,10 +58,13 @@
     address: SocketAddr,
     /// Most recently used last.
     idle: Mutex<Vec<Idle>>,
+    open: Open,
+    next: AtomicU64,
 }
 
 /// A connection that carries one request at a time. Dropping it closes it.
 pub struct Connection {
+    number: u64,
     sender: SendRequest<Full<Bytes>>,
     /// Whether it has carried a request before.
     pub reused: bool,
@@ -64,7 +73,12 @@
 impl Pool {
     /// An empty pool.
     pub fn new(address: SocketAddr) -> Arc<Self> {
-        Arc::new(Pool { address, idle: Mutex::default() })
+        Arc::new(Pool {
+            address,
+            idle: Mutex::default(),
+            open: Open::default(),
+            next: AtomicU64::new(0),
+        })
     }
 
     /// Address of the other side.
@@ -74,8 +88,8 @@
 
     /// Takes an idle connection that carried a response at most `max_age` ago, or opens one.
     pub async fn checkout(&self, max_age: Duration) -> Result<Connection, SendError> {
-        if let Some(sender) = self.take_idle(max_age) {
-            return Ok(Connection { sender, reused: true });
+        if let Some(idle) = self.take_idle(max_age) {
+            return Ok(Connection { number: idle.number, sender: idle.sender, reused: true });
         }
         let failed = |source| SendError::Connect { address: self.address, source };
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address))
@@ -86,14 +100,18 @@
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| failed(std::io::Error::other(error)))?;
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let open = Arc::clone(&self.open);
+        open.lock().unwrap_or_else(PoisonError::into_inner).insert(number, Instant::now());
         // The task ends with the connection, which closes when the sender is dropped.
         tokio::spawn(async move {
             let _ = connection.await;
+            open.lock().unwrap_or_else(PoisonError::into_inner).remove(&number);
         });
-        Ok(Connection { sender, reused: false })
+        Ok(Connection { number, sender, reused: false })
     }
 
-    fn take_idle(&self, max_age: Duration) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, max_age: Duration) -> Option<Idle> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         while let Some(last) = idle.pop() {
             if last.since.elapsed() > max_age {
@@ -103,7 +121,7 @@
                 return None;
             }
             if last.sender.is_ready() {
-                return Some(last.sender);
+                return Some(last);
             }
         }
         None
@@ -117,13 +135,20 @@
                 return;
             }
             let mut idle = pool.idle.lock().unwrap_or_else(PoisonError::into_inner);
-            idle.push(Idle { sender: connection.sender, since: Instant::now() });
+            let (number, sender) = (connection.number, connection.sender);
+            idle.push(Idle { number, sender, since: Instant::now() });
             if idle.len() > MAX_IDLE {
                 idle.remove(0);
             }
         });
     }
 
+    /// Whether a connection that was opened before `at` is still open.
+    pub fn has_survivor(&self, at: Instant) -> bool {
+        let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        open.values().any(|opened| *opened < at)
+    }
+
     /// Closes connections that have been idle for longer than `max_age`.
     pub fn close_idle(&self, max_age: Duration) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
--- a/components/proxy/src/run.rs
+++ b/components/proxy/src/run.rs
@@ -4,7 +4,7 @@
 use futures::stream::FuturesUnordered;
 use http::Response;
 use kernel::prelude::*;
-use retry::{RetryRequest, SentState, may_retry};
+use retry::{RetryRequest, SentState, Verdict, may_retry};
 
 use crate::attempt::{self, Failure, Sent};
 use crate::body::Body;
@@ -15,10 +15,57 @@
 /// Time that a further attempt is expected to take at least; a shorter rest is not worth a retry.
 const EXPECTED: Duration = Duration::from_millis(5);
 
+/// Why a home did not answer a request.
+#[derive(Debug)]
+pub enum RunError {
+    /// It is refused.
+    Refused(Refusal),
+    /// Only this home may run it.
+    GoTo(Incarnation),
+}
+
+impl From<Refusal> for RunError {
+    fn from(refusal: Refusal) -> Self {
+        RunError::Refused(refusal)
+    }
+}
+
 impl Home {
     /// Runs a request on one of the service's backend servers, with retries and hedges as far as
     /// the route and the budget allow.
-    pub async fn run(self: &Arc<Self>, call: &Call) -> Result<Response<Body>, Refusal> {
+    ///
+    /// A suspect of the crash guard is told to go to the arbiter before it is queued here.
+    pub async fn run(self: &Arc<Self>, call: &Call) -> Result<Response<Body>, RunError> {
+        self.pass_guard(call).await?;
+        Ok(self.run_guarded(call).await?)
+    }
+
+    /// Waits until the crash guard lets the request run here.
+    async fn pass_guard(&self, call: &Call) -> Result<(), RunError> {
+        /// Pause before the guard is asked again; confirmations come over the link between regions.
+        const PAUSE: Duration = Duration::from_millis(20);
+        let fingerprint = call.fingerprint();
+        loop {
+            match self.with_guard(|now, guard| guard.check(now, &fingerprint)) {
+                Verdict::Run => return Ok(()),
+                Verdict::GoTo(home) => return Err(RunError::GoTo(home)),
+                Verdict::Refuse(crash) => {
+                    let message = format!(
+                        "the request has crashed {} backend servers; do not send it again",
+                        crash.deaths
+                    );
+                    let refusal = Refusal::not_run(RefusalKind::CrashSuspect, message);
+                    return Err(refusal.retry_after(crash.retry).into());
+                }
+                Verdict::Wait => {
+                    call.left(self.now())?;
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn run_guarded(self: &Arc<Self>, call: &Call) -> Result<Response<Body>, Refusal> {
         self.with_retries(|budget, _| budget.first_attempt("", &call.organisation));
         let mut tried: Vec<BackendId> = Vec::new();
         // Once an attempt may have run, no later refusal may say that the request was not run.
@@ -34,6 +81,10 @@
                 Err(failure) => failure,
             };
             doubt |= failure.sent == Sent::Maybe;
+            if failure.refusal.kind == RefusalKind::CrashSuspect {
+                let refusal = failure.refusal;
+                return Err(if doubt { refusal.possibly_run() } else { refusal });
+            }
             if !self.may_retry(call, failure.sent, tried.len()) {
                 let refusal = failure.refusal;
                 return Err(if doubt { refusal.possibly_run() } else { refusal });
--- a/components/proxy/src/slot.rs
+++ b/components/proxy/src/slot.rs
@@ -2,6 +2,7 @@
 
 use kernel::prelude::*;
 use kernel::{AttemptId, AttemptOutcome, BackendEvent};
+use retry::{AttemptEnd, Fingerprint, Verdict};
 use tokio_util::sync::CancellationToken;
 
 use crate::home::Home;
@@ -49,6 +50,12 @@
         }
     }
 
+    /// Asks the crash guard whether the request may be sent now; `Run` starts the attempt.
+    pub fn guard(&self, fingerprint: &Fingerprint) -> Verdict {
+        self.home
+            .with_guard(|now, guard| guard.start(now, self.attempt, fingerprint, &self.backend))
+    }
+
     /// Tells the detector that the request goes out.
     pub fn mark_sent(&mut self, reused: bool) {
         self.sent = true;
@@ -66,19 +73,31 @@
 
     /// Tells the detector how the attempt ended and frees the slot.
     pub fn end(mut self, outcome: AttemptOutcome) {
-        self.finish(outcome, false);
-    }
-
-    /// Ends the attempt with the blame on the request and not on the backend server.
-    pub fn end_excused(mut self, outcome: AttemptOutcome) {
-        self.finish(outcome, true);
+        self.finish(outcome);
     }
 
-    fn finish(&mut self, outcome: AttemptOutcome, excused: bool) {
+    fn finish(&mut self, outcome: AttemptOutcome) {
         if self.ended {
             return;
         }
         self.ended = true;
+        let end = match outcome {
+            AttemptOutcome::Success | AttemptOutcome::ServerError => AttemptEnd::Answered,
+            AttemptOutcome::Reset => AttemptEnd::Reset,
+            AttemptOutcome::TimedOut | AttemptOutcome::Cancelled if self.sent => {
+                AttemptEnd::Abandoned
+            }
+            _ => AttemptEnd::NotRun,
+        };
+        let excused = self.home.with_guard(|now, guard| {
+            if end == AttemptEnd::Answered {
+                guard.backend_alive(&self.backend, self.start);
+            }
+            guard.ended(now, self.attempt, end)
+        });
+        if outcome == AttemptOutcome::Reset {
+            self.home.check_death(&self.backend, &self.pool);
+        }
         if self.sent || outcome == AttemptOutcome::ConnectFailed {
             self.home.observe(&BackendEvent::Ended {
                 backend: self.backend.clone(),
@@ -94,6 +113,6 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.finish(AttemptOutcome::Cancelled, false);
+        self.finish(AttemptOutcome::Cancelled);
     }
 }
