Measure the time that the fleet adds to a request

Cause: the target of 1.8 ms added at the 99th percentile had no measurement.

The demo counts times of organisations within their rate only; the others wait for tokens.

--- a/tools/demo/src/main.rs
+++ b/tools/demo/src/main.rs
@@ -1,7 +1,6 @@
 //! Starts a small fleet on loopback, makes one backend server gray and prints what happened.
 
 mod desired;
-mod parts;
 mod report;
 mod scene;
 mod traffic;
@@ -30,7 +29,7 @@
 
 fn main() -> ExitCode {
     // The demo starts itself again for its parts, so that it needs no other program.
-    if let Some(result) = parts::run_part() {
+    if let Some(result) = harness::parts::run_part() {
         return match result {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => {
--- a/tools/demo/src/scene.rs
+++ b/tools/demo/src/scene.rs
@@ -8,7 +8,6 @@
 use serde_json::json;
 
 use crate::desired::{ORGANISATIONS, SERVICES, changes};
-use crate::parts;
 use crate::report::Report;
 use crate::traffic::{self, Stream, Tally};
 
@@ -28,7 +27,7 @@
     let counts: Vec<(&str, usize)> = SERVICES.iter().map(|(s, _)| (*s, 10)).collect();
     let shape = Shape::spread(PLACES, 8, &counts, 4);
     let (vms, backends) = (shape.vms.len(), shape.backends.len());
-    let fleet = Fleet::start(parts::programs()?, shape).await?;
+    let fleet = Fleet::start(harness::parts::programs()?, shape).await?;
     let version = fleet.apply(0, changes(&fleet)).await?;
     fleet.wait_version(version).await?;
 
@@ -94,6 +93,7 @@
                         service,
                         prefix: if *idempotent { None } else { prefix },
                         rate: rate * loud,
+                        within: loud < 1.0,
                         time,
                     },
                     number * 1000 + tasks.len(),
--- a/tools/demo/src/traffic.rs
+++ b/tools/demo/src/traffic.rs
@@ -21,7 +21,8 @@
     pub wrong: u64,
     /// Descriptions of the first wrong responses.
     pub wrong_samples: Vec<String>,
-    /// Milliseconds from request to whole response, for each answered request.
+    /// Milliseconds from request to whole response, for each answered request of organisations
+    /// within their rate.
     pub times_ms: Vec<f64>,
 }
 
@@ -47,6 +48,8 @@
     pub prefix: Option<String>,
     /// Requests per second.
     pub rate: f64,
+    /// Whether the organisation stays within its rate.
+    pub within: bool,
     /// Time to send for.
     pub time: Duration,
 }
@@ -72,14 +75,14 @@
         let took = begin.elapsed();
         let mut tally = tally.lock().unwrap_or_else(PoisonError::into_inner);
         match reply {
-            Ok(reply) => check(&mut tally, &reply, &target, &body, took),
+            Ok(reply) => check(&mut tally, &reply, &target, &body, took, stream.within),
             Err(error) => tally.wrong(format!("{target}: {error:#}")),
         }
         sent += 1;
     }
 }
 
-fn check(tally: &mut Tally, reply: &Reply, target: &str, body: &str, took: Duration) {
+fn check(tally: &mut Tally, reply: &Reply, target: &str, body: &str, took: Duration, within: bool) {
     let outcome = reply.header("papayareel-outcome");
     let json = reply.json();
     if !outcome.is_empty() {
@@ -95,7 +98,10 @@
         *tally.refused.entry(format!("backend status {}", reply.status.as_u16())).or_default() += 1;
     } else if own && whole {
         tally.answered += 1;
-        tally.times_ms.push(took.as_secs_f64() * 1e3);
+        // An organisation above its rate waits for tokens; its times say nothing of the fleet.
+        if within {
+            tally.times_ms.push(took.as_secs_f64() * 1e3);
+        }
     } else {
         tally.wrong(format!("{target} got {}", short(&json)));
     }
--- a/tools/harness/src/fleet.rs
+++ b/tools/harness/src/fleet.rs
@@ -73,6 +73,9 @@
             fleet.backends.push(backend);
         }
         fleet.wait_for(fleet.platform_address(), "/vms").await?;
+        for i in 0..fleet.backends.len() {
+            fleet.wait_for(fleet.backend(i), "/healthz").await?;
+        }
         for i in 0..fleet.shape.vms.len() {
             let vm = fleet.start_vm(i)?;
             fleet.vms.push(Some(vm));
--- a/tools/harness/src/lib.rs
+++ b/tools/harness/src/lib.rs
@@ -3,6 +3,8 @@
 mod caller;
 mod fleet;
 mod net;
+/// Lets a program start itself again for the parts of a fleet.
+pub mod parts;
 mod process;
 mod shape;
 
--- a/tools/demo/src/parts.rs
+++ b/tools/harness/src/parts.rs
@@ -1,21 +1,22 @@
 use std::ffi::OsString;
 
 use anyhow::Context;
-use harness::Programs;
 use settings::Settings;
 
-/// First argument of a process that is one part of the demo.
+use crate::fleet::Programs;
+
+/// First argument of a process that is one part of a fleet.
 const DAEMON: &str = "part-daemon";
 const STANDINS: &str = "part-standins";
 
-/// How this program starts its own parts.
+/// How a program that calls [`run_part`] first in `main` starts its own parts.
 pub fn programs() -> anyhow::Result<Programs> {
     let me = std::env::current_exe().context("the path of this program is not known")?;
     let part = |name: &str| vec![me.clone().into_os_string(), OsString::from(name)];
     Ok(Programs { daemon: part(DAEMON), standins: part(STANDINS) })
 }
 
-/// Runs a part if this process is one.
+/// Runs a part if this process was started as one.
 pub fn run_part() -> Option<anyhow::Result<()>> {
     let args: Vec<String> = std::env::args().skip(1).collect();
     match args.first().map(String::as_str)? {
--- a/tools/measure/src/experiments/mod.rs
+++ b/tools/measure/src/experiments/mod.rs
@@ -2,6 +2,7 @@
 
 mod detection;
 mod ejections;
+mod latency;
 mod link;
 
 use crate::Options;
@@ -19,5 +20,6 @@
 pub const ALL: &[Experiment] = &[
     Experiment { name: "detection", run: detection::run },
     Experiment { name: "ejections", run: ejections::run },
+    Experiment { name: "latency", run: latency::run },
     Experiment { name: "link", run: link::run },
 ];
--- a/tools/measure/src/main.rs
+++ b/tools/measure/src/main.rs
@@ -43,6 +43,16 @@
 }
 
 fn main() -> ExitCode {
+    // Experiments with processes start this program again for their parts.
+    if let Some(result) = harness::parts::run_part() {
+        return match result {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("measure part: {error:#}");
+                ExitCode::FAILURE
+            }
+        };
+    }
     let args: Args = argh::from_env();
     match run(&args) {
         Ok(figures) if args.json => print_json(&args.experiment, &figures),
