--- a/tools/measure/src/experiments/ejections.rs
+++ b/tools/measure/src/experiments/ejections.rs
@@ -5,9 +5,9 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::detection::SITES;
+use super::detection::{MEAN_S, SITES};
 use crate::Options;
-use crate::fakes::{Fault, Fleet, Kind, Report, Script, Setup};
+use crate::fakes::{Fault, Fleet, Kind, Report, Script, Setup, run_seeds};
 use crate::figure::{Bound, Figure};
 
 /// Backend servers of the service.
@@ -72,8 +72,7 @@
 
 fn run_hour(kind: Kind, slots: u32, seed: u64) -> anyhow::Result<Report> {
     let script = draw_hour(&mut SmallRng::seed_from_u64(seed), vms(kind));
-    // Mean service time 64 ms.
-    let full = BACKENDS as f64 * f64::from(slots) / 0.064;
+    let full = BACKENDS as f64 * f64::from(slots) / MEAN_S;
     Fleet::run(Setup {
         kind,
         backends: BACKENDS,
@@ -126,25 +125,25 @@
             Figure::new(title("six gray: polls below the floor"), "", zero),
             Figure::new(title("six gray: weight answered"), "%", None),
         ];
-        for seed in options.seed..options.seed + options.runs {
-            for kind in [Kind::Naive, Kind::Chosen] {
-                let hour = run_hour(kind, slots, seed)?;
-                let crisis = run_crisis(kind, slots, seed)?;
-                let samples = [
-                    f64::from(hour.false_ejections),
-                    f64::from(hour.false_suspicions),
-                    100.0 * hour.answered / hour.asked,
-                    100.0 * hour.extra,
-                    f64::from(hour.below_floor + crisis.below_floor),
-                    100.0 * crisis.answered / crisis.asked,
-                ];
-                for (figure, sample) in set.iter_mut().zip(samples) {
-                    if kind == Kind::Naive {
-                        figure.naive.push(sample);
-                    } else {
-                        figure.chosen.push(sample);
-                    }
-                }
+        let sample = |kind, seed| -> anyhow::Result<[f64; 6]> {
+            let hour = run_hour(kind, slots, seed)?;
+            let crisis = run_crisis(kind, slots, seed)?;
+            Ok([
+                f64::from(hour.false_ejections),
+                f64::from(hour.false_suspicions),
+                100.0 * hour.answered / hour.asked,
+                100.0 * hour.extra,
+                f64::from(hour.below_floor + crisis.below_floor),
+                100.0 * crisis.answered / crisis.asked,
+            ])
+        };
+        let runs = run_seeds(options, |seed| {
+            Ok((sample(Kind::Naive, seed)?, sample(Kind::Chosen, seed)?))
+        })?;
+        for (naive, chosen) in runs {
+            for (i, figure) in set.iter_mut().enumerate() {
+                figure.naive.push(naive[i]);
+                figure.chosen.push(chosen[i]);
             }
         }
         figures.extend(set);
--- a/tools/measure/src/fakes/mod.rs
+++ b/tools/measure/src/fakes/mod.rs
@@ -4,9 +4,11 @@
 mod fleet;
 mod requests;
 mod script;
+mod seeds;
 mod setup;
 
 pub use backend::FakeBackend;
 pub use fleet::Fleet;
 pub use script::{Fault, Script};
+pub use seeds::run_seeds;
 pub use setup::{Kind, Report, Setup};
