Probe a silent backend server during the silence before ejecting it

Change: silence is the time since the last answer; only a probe that ended 500 ms after the first evidence and after the last answer counts; without an answer to it, a peer has 3 s to report.

--- a/components/detector/src/judge.rs
+++ b/components/detector/src/judge.rs
@@ -17,7 +17,9 @@
 const PROBE_AGAIN: Duration = Duration::from_secs(5);
 /// Shortest time between the first evidence and an ejection; two pauses of 500 ms in a row.
 const LEAST_SPAN: Duration = Duration::from_secs(1);
-/// Time for which failures to connect may be a partition that no peer has reported on yet.
+/// Time without an answer after which the way from this VM is in doubt.
+const SILENCE: Duration = Duration::from_millis(300);
+/// Time for which silence or failures to connect may be a partition that no peer has reported on yet.
 const PARTITION_DOUBT: Duration = Duration::from_secs(3);
 /// Age of a peer's report that it reaches the backend server.
 const REPORT_AGE: Duration = Duration::from_secs(5);
@@ -172,10 +174,28 @@
     }
 }
 
-/// Whether nothing has come back since the evidence began. Then the backend server may be fine
-/// and the way from this VM broken.
-fn is_silent(track: &Track, since: Uptime) -> bool {
-    track.alive.is_none_or(|at| at < since)
+/// Whether nothing has come back lately. Then the backend server may be fine and the way from
+/// this VM broken.
+fn is_silent(track: &Track, now: Uptime) -> bool {
+    track.alive.is_none_or(|at| now.saturating_sub(at) >= SILENCE)
+}
+
+/// What a probe has shown of the way from this VM, if it ended during the silence and late
+/// enough that a pause of the backend server is over.
+fn known_way(track: &Track, since: Uptime) -> Option<bool> {
+    let least = (since + LEAST_SPAN / 2).max(track.alive.unwrap_or_default());
+    track.way.filter(|(at, _)| *at > least).map(|(_, open)| open)
+}
+
+/// Whether the way from this VM may be broken and no peer has been heard on it yet.
+fn is_doubtful(track: &Track, now: Uptime, since: Uptime) -> bool {
+    if track.connect_fails > 0 {
+        return now.saturating_sub(track.connect_since) < PARTITION_DOUBT;
+    }
+    // A backend server that has gone silent is probed first.
+    is_silent(track, now)
+        && known_way(track, since)
+            .is_none_or(|open| !open && now.saturating_sub(since) < PARTITION_DOUBT)
 }
 
 /// Finds out whether the way from this VM is broken and not the backend server.
@@ -186,9 +206,8 @@
     let refused = track.connect_fails >= 2;
     let (strength, _, begun) = track.weigh(now);
     let since = if refused { track.connect_since } else { begun };
-    let broken = strength >= SUSPECT
-        && is_silent(track, since)
-        && matches!(track.way, Some((at, false)) if at > since);
+    let broken =
+        strength >= SUSPECT && is_silent(track, now) && known_way(track, since) == Some(false);
     // A report from before the first evidence says nothing about now.
     let reached =
         track.peer_reached.is_some_and(|at| at > since && now.saturating_sub(at) < REPORT_AGE);
@@ -235,11 +254,8 @@
     for (id, track) in evidence.tracks.iter().filter(|(_, track)| track.state.takes_work()) {
         let (strength, reason, since) = track.weigh_patiently(now);
         let after = now.saturating_sub(since);
-        let doubt =
-            track.connect_fails > 0 && now.saturating_sub(track.connect_since) < PARTITION_DOUBT;
-        // A backend server that has gone silent is probed first.
-        let asked = !is_silent(track, since) || track.way.is_some_and(|(at, _)| at > since);
-        if strength >= ejects_at(reason) && after >= LEAST_SPAN && !doubt && asked {
+        let enough = strength >= ejects_at(reason) && after >= LEAST_SPAN;
+        if enough && !is_doubtful(track, now, since) {
             due.push((strength, reason, after, id.clone()));
         }
     }
@@ -264,8 +280,9 @@
     let is_due = |track: &Track| match track.state {
         State::Taking | State::Ramp { .. } => {
             let (strength, _, since) = track.weigh(now);
-            let known = track.way.is_some_and(|(at, _)| at > since);
-            strength >= SUSPECT && is_silent(track, since) && !known && track.way_asked.is_none()
+            let asked = track.way_asked.is_some() || known_way(track, since).is_some();
+            let late = now.saturating_sub(since) > LEAST_SPAN / 2;
+            strength >= SUSPECT && late && is_silent(track, now) && !asked
         }
         State::Ejected { until, probe } | State::Unreachable { until, probe } => {
             probe.is_none() && now >= until
