Run the hours without the store as an experiment of their own

Cause: they take minutes where the others take seconds.

Change: rates runs the scenarios of two minutes, rates-hour the two others.

--- a/tools/measure/src/experiments/mod.rs
+++ b/tools/measure/src/experiments/mod.rs
@@ -14,4 +14,7 @@
 }
 
 /// Every experiment.
-pub const ALL: &[Experiment] = &[Experiment { name: "rates", run: rates::run }];
+pub const ALL: &[Experiment] = &[
+    Experiment { name: "rates", run: rates::run },
+    Experiment { name: "rates-hour", run: rates::run_hour },
+];
--- a/tools/measure/src/experiments/rates.rs
+++ b/tools/measure/src/experiments/rates.rs
@@ -159,10 +159,19 @@
     }
 }
 
-/// Runs every scenario with both plug-ins on the same arrivals.
+/// Runs the scenarios of two minutes with both plug-ins on the same arrivals.
 pub fn run(options: &Options) -> anyhow::Result<Vec<Figure>> {
+    run_all(options, |scenario| scenario.outage.is_none())
+}
+
+/// Runs the scenarios in which the store is away for an hour.
+pub fn run_hour(options: &Options) -> anyhow::Result<Vec<Figure>> {
+    run_all(options, |scenario| scenario.outage.is_some())
+}
+
+fn run_all(options: &Options, chosen: fn(&Scenario) -> bool) -> anyhow::Result<Vec<Figure>> {
     let mut all = Vec::new();
-    for scenario in &SCENARIOS {
+    for scenario in SCENARIOS.iter().filter(|scenario| chosen(scenario)) {
         let mut figures = Figures::new(scenario);
         let jobs: Vec<(&'static str, u64)> = (options.seed..options.seed + options.runs)
             .flat_map(|seed| [("naive", seed), ("shares", seed)])
