Round up the remainders of asks

Cause: asks for several parts of a token add up to a little less than the token, and holders do not grant the missing bit, so requests waited in vain.

Change: an ask is for at least 0.1 tokens.

--- a/components/limiter/src/account.rs
+++ b/components/limiter/src/account.rs
@@ -14,6 +14,9 @@
 /// Holders that are asked at once.
 const PARALLEL: usize = 4;
 
+/// Smaller asks are rounded up: holders do not grant the last bit that a sum of fractions misses.
+const LEAST_ASK: f64 = 0.1;
+
 /// Reports of spent grants wait this long for an ask to the same holder.
 const REPORT_AFTER: Duration = Duration::from_millis(100);
 
@@ -262,7 +265,7 @@
         if have >= waiting + aim / 2.0 {
             return;
         }
-        let want = waiting + aim - have;
+        let want = (waiting + aim - have).max(LEAST_ASK);
         let share = self.rate.burst / f64::from(self.ranking.holders().max(1));
         let parts = (want / (share / 2.0).max(1.0)).ceil().clamp(1.0, PARALLEL as f64);
         let mut holders = self.sources.ready(now, &self.ranking, self.me, false);
