Ask more holders for smaller parts when grants come back empty

Cause: at 90% of the rate some holders of a small organisation are full, and lose refill, while others are empty; a request then asks them one by one.

Change: the mean part of asks that was not granted adds up to 4 holders to those asked at once.

--- a/components/limiter/src/account.rs
+++ b/components/limiter/src/account.rs
@@ -11,8 +11,12 @@
 use crate::timing::{NO_UNITS, PREFETCH, SURPLUS};
 use crate::{Bucket, Purse, RATE_UNITS, Ranking};
 
-/// Holders that are asked at once.
-const PARALLEL: usize = 4;
+/// Holders that are asked at once while they grant what they are asked for.
+const PARALLEL: f64 = 4.0;
+
+/// Further holders that are asked at once, for smaller parts, when grants come back empty. Small
+/// parts drain the holders evenly, so that none of them is full while others are empty.
+const PARALLEL_SCARCE: f64 = 4.0;
 
 /// Smaller asks are rounded up: holders do not grant the last bit that a sum of fractions misses.
 const LEAST_ASK: f64 = 0.1;
@@ -267,7 +271,8 @@
         }
         let want = (waiting + aim - have).max(LEAST_ASK);
         let share = self.rate.burst / f64::from(self.ranking.holders().max(1));
-        let parts = (want / (share / 2.0).max(1.0)).ceil().clamp(1.0, PARALLEL as f64);
+        let parts = (want / (share / 2.0).max(1.0)).ceil().clamp(1.0, PARALLEL);
+        let parts = parts + (PARALLEL_SCARCE * self.sources.scarcity()).round();
         let mut holders = self.sources.ready(now, &self.ranking, self.me, false);
         if holders.is_empty() && waiting > 0.0 {
             holders = self.sources.ready(now, &self.ranking, self.me, true);
--- a/components/limiter/src/sources.rs
+++ b/components/limiter/src/sources.rs
@@ -9,6 +9,9 @@
 /// Longest time for which a silent VM is not asked.
 const LONGEST_PAUSE: Duration = Duration::from_secs(10);
 
+/// Weight of the newest grant in the measured scarcity.
+const NEWEST: f64 = 0.1;
+
 /// What is known of a VM that may hold units.
 #[derive(Clone, Debug, Default)]
 struct Source {
@@ -36,6 +39,8 @@
 pub struct Sources {
     known: HashMap<Incarnation, Source>,
     asks: Vec<Ask>,
+    /// Mean part of the last asks that was not granted.
+    scarcity: f64,
 }
 
 impl Sources {
@@ -112,7 +117,14 @@
         source.misses = 0;
         source.giver = tokens > 0.0 || (source.giver && retry < crate::timing::NO_UNITS);
         source.ready = if tokens < ask.tokens { now.saturating_add(retry) } else { now };
-        Some((tokens.max(0.0).min(ask.tokens), ask.at + GRANT_VALID))
+        let tokens = tokens.max(0.0).min(ask.tokens);
+        self.scarcity += NEWEST * (1.0 - tokens / ask.tokens - self.scarcity);
+        Some((tokens, ask.at + GRANT_VALID))
+    }
+
+    /// Mean part of the last asks that was not granted, in [0, 1].
+    pub fn scarcity(&self) -> f64 {
+        self.scarcity
     }
 
     /// Forgets the VMs that are not ranked any more.
