Prefetch less while tokens are scarce

Cause: in a burst the VMs prefetch half a second of a demand that is several times the rate; what idles in one hand is missing where requests wait.

Change: the aim shrinks by the part of asks that is not granted.

--- a/components/limiter/src/account.rs
+++ b/components/limiter/src/account.rs
@@ -257,7 +257,8 @@
     /// Tokens to have in hand beyond those for the requests that wait.
     fn aim(&mut self, per_second: f64) -> f64 {
         let most = self.rate.burst / 4.0;
-        let aim = per_second * PREFETCH.as_secs_f64();
+        // What one VM has in hand is missing where requests wait.
+        let aim = per_second * PREFETCH.as_secs_f64() * (1.0 - self.sources.scarcity());
         if aim >= 1.0 { aim.min(most) } else { 0.0 }
     }
 
