Report spent grants after 20 ms

Cause: a holder loses refill as long as a spent grant counts as outstanding. In a burst each grant was outstanding 100 ms longer than in use.

Change: reports wait 20 ms in place of 100 ms for an ask to the same holder.

--- a/components/limiter/src/account.rs
+++ b/components/limiter/src/account.rs
@@ -22,7 +22,7 @@
 const LEAST_ASK: f64 = 0.1;
 
 /// Reports of spent grants wait this long for an ask to the same holder.
-const REPORT_AFTER: Duration = Duration::from_millis(100);
+const REPORT_AFTER: Duration = Duration::from_millis(20);
 
 /// Least and greatest pause between two claims of units, and the longest that requests wait for
 /// the outcome of one.
