--- a/components/limiter/src/account.rs
+++ b/components/limiter/src/account.rs
@@ -11,11 +11,18 @@
 use crate::timing::{NO_UNITS, PREFETCH, SURPLUS};
 use crate::{Bucket, Purse, RATE_UNITS, Ranking};
 
-/// Holders that are asked at once.
-const PARALLEL: usize = 4;
+/// Holders that are asked at once while they grant what they are asked for.
+const PARALLEL: f64 = 4.0;
+
+/// Further holders that are asked at once, for smaller parts, when grants come back empty. Small
+/// parts drain the holders evenly, so that none of them is full while others are empty.
+const PARALLEL_SCARCE: f64 = 4.0;
+
+/// Smaller asks are rounded up: holders do not grant the last bit that a sum of fractions misses.
+const LEAST_ASK: f64 = 0.1;
 
 /// Reports of spent grants wait this long for an ask to the same holder.
-const REPORT_AFTER: Duration = Duration::from_millis(100);
+const REPORT_AFTER: Duration = Duration::from_millis(20);
 
 /// Least and greatest pause between two claims of units, and the longest that requests wait for
 /// the outcome of one.
@@ -250,7 +257,8 @@
     /// Tokens to have in hand beyond those for the requests that wait.
     fn aim(&mut self, per_second: f64) -> f64 {
         let most = self.rate.burst / 4.0;
-        let aim = per_second * PREFETCH.as_secs_f64();
+        // What one VM has in hand is missing where requests wait.
+        let aim = per_second * PREFETCH.as_secs_f64() * (1.0 - self.sources.scarcity());
         if aim >= 1.0 { aim.min(most) } else { 0.0 }
     }
 
@@ -262,9 +270,10 @@
         if have >= waiting + aim / 2.0 {
             return;
         }
-        let want = waiting + aim - have;
+        let want = (waiting + aim - have).max(LEAST_ASK);
         let share = self.rate.burst / f64::from(self.ranking.holders().max(1));
-        let parts = (want / (share / 2.0).max(1.0)).ceil().clamp(1.0, PARALLEL as f64);
+        let parts = (want / (share / 2.0).max(1.0)).ceil().clamp(1.0, PARALLEL);
+        let parts = parts + (PARALLEL_SCARCE * self.sources.scarcity()).round();
         let mut holders = self.sources.ready(now, &self.ranking, self.me, false);
         if holders.is_empty() && waiting > 0.0 {
             holders = self.sources.ready(now, &self.ranking, self.me, true);
--- a/tools/measure/src/experiments/mod.rs
+++ b/tools/measure/src/experiments/mod.rs
@@ -4,6 +4,7 @@
 mod ejections;
 mod latency;
 mod link;
+mod rates;
 
 use crate::Options;
 use crate::figure::Figure;
@@ -22,4 +23,6 @@
     Experiment { name: "ejections", run: ejections::run },
     Experiment { name: "latency", run: latency::run },
     Experiment { name: "link", run: link::run },
+    Experiment { name: "rates", run: rates::run },
+    Experiment { name: "rates-hour", run: rates::run_hour },
 ];
--- a/tools/measure/src/lib.rs
+++ b/tools/measure/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod experiments;
 pub mod fakes;
 pub mod figure;
+pub mod rate_fleet;
 
 /// Seeds of an experiment.
 pub struct Options {
