--- a/components/config/tests/suite/main.rs
+++ b/components/config/tests/suite/main.rs
@@ -2,5 +2,9 @@
 
 mod apply;
 mod common;
+mod desired;
 mod memory;
+mod oracle;
+mod snapshot;
+mod stateful;
 mod store;
--- a/components/config/tests/suite/memory.rs
+++ b/components/config/tests/suite/memory.rs
@@ -27,7 +27,12 @@
 
 impl TableStore for MemoryTable {
     fn read<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Row>, PlatformError>> {
-        Box::pin(async move { Ok(self.rows.lock().unwrap().get(key).cloned()) })
+        Box::pin(async move {
+            let row = self.rows.lock().unwrap().get(key).cloned();
+            // Lets calls that run at once come between a read and the commit that builds on it.
+            tokio::task::yield_now().await;
+            Ok(row)
+        })
     }
 
     fn scan<'a>(
--- a/components/config/tests/suite/store.rs
+++ b/components/config/tests/suite/store.rs
@@ -128,3 +128,23 @@
     let ahead = FleetConfig { version: 400, ..Default::default() };
     assert_eq!(bench.store.load(&ahead).await.unwrap().config, ahead);
 }
+
+/// Guards against deleting the deltas that a damaged snapshot does not replace.
+#[tokio::test]
+async fn nothing_is_deleted_on_the_word_of_a_damaged_snapshot() {
+    let bench = bench();
+    let newest = fill(&bench, 200).await;
+    let objects = || bench.objects.0.lock().unwrap();
+    objects().get_mut("config/snapshot-000000000128").unwrap().pop();
+    let written = bench.store.write_snapshot(&newest).await;
+    assert!(matches!(written, Err(StoreError::Snapshot(_))), "{written:?}");
+    assert_eq!(objects().len(), 4);
+    assert_eq!(bench.store.deltas(64).await.unwrap().len(), 136);
+    // Once the damaged one is no longer the oldest to keep, it goes as well.
+    let set = set(200, "next", put(1.0));
+    let Ok(Committed::Now { config, .. }) = bench.store.commit(&newest, &set).await else {
+        panic!("the change was refused");
+    };
+    bench.store.write_snapshot(&config).await.unwrap();
+    assert_eq!(objects().len(), 3);
+}
--- a/components/operator/tests/suite/main.rs
+++ b/components/operator/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the operators interface over loopback.
 
 mod fleet;
+mod progress;
 mod rpc;
 mod tokens;
--- /dev/null
+++ b/components/operator/tests/suite/progress.rs
@@ -0,0 +1,31 @@
+//! How far a version has come, and the keys that the command makes.
+
+use operator::{Progress, Secrets, StatusQuery};
+
+use crate::fleet::status;
+
+/// Guards against reporting a version as in force while a live VM lacks it, and against a VM that
+/// leaves or is gone keeping a change from ever being reported as in force.
+#[test]
+fn every_live_vm_counts() {
+    let mut status = status(&StatusQuery::default());
+    status.vms[1].version = 1;
+    let progress = Progress::new(&status, 7);
+    assert_eq!((progress.ready, progress.is_complete()), (1, true));
+    assert_eq!(progress.silent, ["vm-3".into()]);
+    let progress = Progress::new(&status, 8);
+    assert_eq!((progress.behind.clone(), progress.is_complete()), (vec!["vm-1".into()], false));
+    status.vms.clear();
+    assert!(!Progress::new(&status, 7).is_complete(), "no VM is known to have it");
+}
+
+/// Guards against keys that repeat or can be guessed from another process.
+#[test]
+fn keys_differ_unless_the_seed_is_fixed() {
+    let draw = |seed| Secrets::new(seed).make_key();
+    assert_eq!(draw(Some(5)), draw(Some(5)));
+    assert_ne!(draw(None), draw(None));
+    let mut secrets = Secrets::new(None);
+    assert_ne!(secrets.make_change_id(), secrets.make_change_id());
+    assert_eq!(draw(None).len(), 69);
+}
