Share what is the same between versions of the configuration

Every change copied the whole configuration.

A sorted map of shared chunks takes 118 MB for a version and 1 MB for 100 changes on top, and a change takes 0.19 ms. The index of routes takes 1 MB instead of 10 and is built in 5 ms instead of 32 (its earlier form with the new map).

The imbl library was tried in its place: it shares as well, but took 63 MB for 480,000 keys, as a BTreeMap does (62 MB), since its nodes are partly empty.

--- /dev/null
+++ b/components/config/examples/memory.rs
@@ -0,0 +1,102 @@
+//! Measures the memory of a configuration of the design size: 480,000 organisations with a key
+//! each, 54,000 routes, 1,800 services with 84,000 backend servers.
+
+use std::time::{Duration, Instant};
+
+use config::{
+    Change, ChangeSet, FleetConfig, Lookup, Organisation, Route, Service, apply, digest_key, encode,
+};
+use kernel::{BackendLimits, BackendSpec, Place, Rate};
+
+const ORGANISATIONS: u32 = 480_000;
+const ROUTES: u32 = 54_000;
+const SERVICES: u32 = 1_800;
+const BACKENDS: u32 = 84_000;
+
+/// Resident memory of this process in MB, or none where the system does not tell.
+fn resident() -> Option<f64> {
+    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+    Some(line.split_whitespace().nth(1)?.parse::<f64>().ok()? / 1024.0)
+}
+
+fn show(what: &str, start: Instant) {
+    match resident() {
+        Some(resident) => println!("{what:45} {resident:7.1} MB {:9.1?}", start.elapsed()),
+        None => println!("{what:45}       ? MB {:9.1?}", start.elapsed()),
+    }
+}
+
+fn build() -> FleetConfig {
+    let mut config = FleetConfig::default();
+    for i in 0..ORGANISATIONS {
+        let rate = Rate { per_second: f64::from(i % 100), burst: 20.0 };
+        let id: Box<str> = format!("organisation-{i:06}").into();
+        config.organisations.insert(id.clone(), Organisation { rate, weight: 1.0 });
+        let key = config::Key { organisation: id, withdrawn: false };
+        config.keys.insert(digest_key(&i.to_be_bytes()), key);
+    }
+    for i in 0..SERVICES {
+        let backend = |j: u32| BackendSpec {
+            id: format!("backend-{j:03}").into(),
+            address: ([127, 0, 0, 1], 7000).into(),
+            place: Place { region: "dakar".into(), domain: "dakar-plateau".into() },
+            limits: BackendLimits { slots: 2, connections: 300 },
+            draining: false,
+        };
+        let backends = (0..BACKENDS / SERVICES).map(backend).collect();
+        config.services.insert(format!("service-{i:04}").into(), Service { floor: 0.5, backends });
+    }
+    for i in 0..ROUTES {
+        let route = Route {
+            prefix: format!("/service-{:04}/part-{i:05}", i % SERVICES).into(),
+            methods: vec!["GET".into(), "HEAD".into()],
+            service: format!("service-{:04}", i % SERVICES).into(),
+            open: false,
+            idempotent: true,
+            weight: 1.0,
+            deadline: Duration::from_secs(1),
+            organisations: vec![],
+        };
+        config.routes.insert(format!("route-{i:05}").into(), route);
+    }
+    config
+}
+
+fn main() {
+    let start = Instant::now();
+    show("empty process", start);
+    let mut config = build();
+    show("configuration", start);
+    let start = Instant::now();
+    let lookup = Lookup::new(config.clone().into());
+    show("and its lookup", start);
+    let start = Instant::now();
+    for i in 0..100_u32 {
+        let id = format!("organisation-{:06}", i * 4_000).into();
+        let organisation = Organisation { rate: Rate { per_second: 7.0, burst: 9.0 }, weight: 1.0 };
+        let set = ChangeSet {
+            change_id: format!("c{i}").into(),
+            base_version: config.version,
+            changes: vec![Change::PutOrganisation { id, organisation }],
+        };
+        match apply(&config, &set) {
+            Ok((next, _)) => config = next,
+            Err(error) => println!("{error}"),
+        }
+    }
+    show("and 100 changes, the first version still held", start);
+    let start = Instant::now();
+    for i in 0..1_000_u32 {
+        let key = config.keys.get(&digest_key(&(i * 400).to_be_bytes()));
+        assert!(key.is_some(), "key {i} is missing");
+    }
+    show("and 1,000 keys looked up", start);
+    drop(lookup);
+    let start = Instant::now();
+    match encode(&config) {
+        Ok(bytes) => println!("snapshot of {:.1} MB", bytes.len() as f64 / 1e6),
+        Err(error) => println!("{error}"),
+    }
+    show("and a snapshot written", start);
+}
--- a/components/config/src/apply.rs
+++ b/components/config/src/apply.rs
@@ -1,7 +1,9 @@
 use kernel::prelude::*;
 
 use crate::check::Checker;
-use crate::{Change, ChangeError, ChangeSet, Delta, FaultKind, Faults, FleetConfig, Key, Route};
+use crate::{
+    Change, ChangeError, ChangeSet, Delta, FaultKind, Faults, FleetConfig, Key, KeyDigest, Route,
+};
 
 /// Applies a change set to the newest configuration and checks every value and reference.
 ///
@@ -83,8 +85,10 @@
         }
         Change::RemoveOrganisation { id } => {
             config.organisations.remove(id);
-            for key in config.keys.values_mut().filter(|key| key.organisation == *id) {
-                key.withdrawn = true;
+            // Only the chunks that hold such keys are copied.
+            let owned = config.keys.iter().filter(|(_, key)| key.organisation == *id);
+            for digest in owned.map(|(digest, _)| *digest).collect::<Vec<_>>() {
+                withdraw(config, &digest);
             }
         }
         Change::PutService { id, service } => {
@@ -101,13 +105,17 @@
         }
         Change::IssueKey { digest, organisation } => {
             let key = Key { organisation: organisation.clone(), withdrawn: false };
-            config.keys.entry(*digest).or_insert(key);
-        }
-        Change::WithdrawKey { digest } => {
-            if let Some(key) = config.keys.get_mut(digest) {
-                key.withdrawn = true;
+            if !config.keys.contains_key(digest) {
+                config.keys.insert(*digest, key);
             }
         }
+        Change::WithdrawKey { digest } => withdraw(config, digest),
+    }
+}
+
+fn withdraw(config: &mut FleetConfig, digest: &KeyDigest) {
+    if let Some(key) = config.keys.get_mut(digest) {
+        key.withdrawn = true;
     }
 }
 
--- a/components/config/src/desired.rs
+++ b/components/config/src/desired.rs
@@ -1,10 +1,8 @@
-use std::collections::BTreeMap;
-
 use kernel::prelude::*;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::{FleetConfig, Key, KeyDigest, Organisation, Route, Service};
+use crate::{FleetConfig, Key, KeyDigest, Organisation, Route, Service, SharedMap};
 
 /// A file is not a desired state.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
@@ -23,14 +21,14 @@
 #[serde(deny_unknown_fields)]
 pub struct DesiredState {
     /// Organisations by name.
-    pub organisations: BTreeMap<OrganisationId, Organisation>,
+    pub organisations: SharedMap<OrganisationId, Organisation>,
     /// Services by name.
-    pub services: BTreeMap<ServiceId, Service>,
+    pub services: SharedMap<ServiceId, Service>,
     /// Routes by name.
-    pub routes: BTreeMap<RouteId, Route>,
+    pub routes: SharedMap<RouteId, Route>,
     /// Keys by digest; none leaves the keys as they are.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub keys: Option<BTreeMap<KeyDigest, Key>>,
+    pub keys: Option<SharedMap<KeyDigest, Key>>,
 }
 
 impl DesiredState {
--- a/components/config/src/diff.rs
+++ b/components/config/src/diff.rs
@@ -1,6 +1,4 @@
-use std::collections::BTreeMap;
-
-use crate::{Change, FleetConfig};
+use crate::{Change, FleetConfig, SharedMap};
 
 /// The changes that lead from one configuration to another.
 ///
@@ -55,16 +53,16 @@
 
 /// Entries of `desired` that `current` lacks or has with another value.
 fn altered<'a, K: Ord, V: PartialEq>(
-    current: &'a BTreeMap<K, V>,
-    desired: &'a BTreeMap<K, V>,
+    current: &'a SharedMap<K, V>,
+    desired: &'a SharedMap<K, V>,
 ) -> impl Iterator<Item = (&'a K, &'a V)> {
     desired.iter().filter(|(id, value)| current.get(id) != Some(value))
 }
 
 /// Names of `current` that `desired` lacks.
 fn dropped<'a, K: Ord, V>(
-    current: &'a BTreeMap<K, V>,
-    desired: &'a BTreeMap<K, V>,
+    current: &'a SharedMap<K, V>,
+    desired: &'a SharedMap<K, V>,
 ) -> impl Iterator<Item = &'a K> {
     current.keys().filter(|id| !desired.contains_key(id))
 }
--- a/components/config/src/lookup.rs
+++ b/components/config/src/lookup.rs
@@ -1,8 +1,9 @@
-use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
 use kernel::prelude::*;
 
+use crate::shared_map::Place;
 use crate::{FleetConfig, Route, digest_key};
 
 /// What a request's key gives it on a route.
@@ -25,32 +26,48 @@
     pub route: &'a Route,
 }
 
+/// A prefix without the slashes at its end, which do not count.
+fn trim(prefix: &str) -> &str {
+    prefix.trim_end_matches('/')
+}
+
+fn hash(prefix: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    prefix.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// A configuration with the indexes that requests need.
 #[derive(Clone, Debug)]
 pub struct Lookup {
     /// The configuration.
     pub config: Arc<FleetConfig>,
-    /// Routes by prefix; the routes of one prefix differ in their methods.
-    prefixes: HashMap<Box<str>, Vec<RouteId>>,
+    /// Hashes of the prefixes of routes, sorted, with the places of the routes. A map by prefix
+    /// took 10 MB and 32 ms for each change at 54,000 routes.
+    prefixes: Vec<(u64, Place)>,
 }
 
 impl Lookup {
     /// Builds the indexes.
     pub fn new(config: Arc<FleetConfig>) -> Self {
-        let mut prefixes: HashMap<Box<str>, Vec<RouteId>> = HashMap::new();
-        for (id, route) in &config.routes {
-            let prefix = route.prefix.trim_end_matches('/');
-            prefixes.entry(prefix.into()).or_default().push(id.clone());
-        }
+        let entry = |(place, _, route): (Place, _, &Route)| (hash(trim(&route.prefix)), place);
+        let mut prefixes: Vec<_> = config.routes.places().map(entry).collect();
+        prefixes.sort_unstable();
         Lookup { config, prefixes }
     }
 
     /// Finds the route with the longest prefix of whole segments that takes the method.
     pub fn route(&self, method: &str, path: &str) -> Option<RouteMatch<'_>> {
-        let mut prefix = path.trim_end_matches('/');
+        let mut prefix = trim(path);
         loop {
-            for id in self.prefixes.get(prefix).into_iter().flatten() {
-                let route = &self.config.routes[id];
+            let hash = hash(prefix);
+            let first = self.prefixes.partition_point(|entry| entry.0 < hash);
+            // The routes of one prefix differ in their methods.
+            for (_, place) in self.prefixes[first..].iter().take_while(|entry| entry.0 == hash) {
+                let (id, route) = self.config.routes.at(*place);
+                if trim(&route.prefix) != prefix {
+                    continue;
+                }
                 if route.methods.is_empty() || route.methods.iter().any(|m| &**m == method) {
                     return Some(RouteMatch { id, route });
                 }
--- a/components/config/src/model.rs
+++ b/components/config/src/model.rs
@@ -1,9 +1,7 @@
-use std::collections::BTreeMap;
-
 use kernel::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::KeyDigest;
+use crate::{KeyDigest, SharedMap};
 
 /// A customer of the operator.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -70,11 +68,11 @@
     /// Version; 0 is the empty configuration of a new fleet.
     pub version: Version,
     /// Organisations by name.
-    pub organisations: BTreeMap<OrganisationId, Organisation>,
+    pub organisations: SharedMap<OrganisationId, Organisation>,
     /// Keys by digest.
-    pub keys: BTreeMap<KeyDigest, Key>,
+    pub keys: SharedMap<KeyDigest, Key>,
     /// Services by name.
-    pub services: BTreeMap<ServiceId, Service>,
+    pub services: SharedMap<ServiceId, Service>,
     /// Routes by name.
-    pub routes: BTreeMap<RouteId, Route>,
+    pub routes: SharedMap<RouteId, Route>,
 }
--- a/components/config/tests/suite/main.rs
+++ b/components/config/tests/suite/main.rs
@@ -3,8 +3,10 @@
 mod apply;
 mod common;
 mod desired;
+mod lookup;
 mod memory;
 mod oracle;
+mod shared_map;
 mod snapshot;
 mod stateful;
 mod store;
--- /dev/null
+++ b/components/config/tests/suite/shared_map.rs
@@ -0,0 +1,57 @@
+//! The shared map against the map of the standard library.
+
+use std::collections::BTreeMap;
+
+use config::SharedMap;
+use quickcheck::{Arbitrary, Gen};
+
+use crate::stateful::setting;
+
+/// Guards against entries that are lost, doubled or out of order where chunks split, shrink and
+/// merge, and against a change that shows in a clone made before it.
+#[test]
+fn random_histories_agree_with_a_btree_map() {
+    let cases = setting("PAPAYAREEL_FUZZ_CASES", 40);
+    let seed = setting("PAPAYAREEL_FUZZ_SEED", 20_261_204);
+    for case in 0..cases {
+        println!("case {case}, seed {seed}");
+        let mut g = Gen::from_size_and_seed(100, seed.wrapping_add(case));
+        let (mut map, mut oracle) = (SharedMap::new(), BTreeMap::new());
+        // Rising keys, falling keys, random keys; then mostly removals.
+        let order = u32::arbitrary(&mut g) % 3;
+        for step in 0..3000_u32 {
+            let random = u32::arbitrary(&mut g) % 1500;
+            let key = match order {
+                _ if step > 1500 => random,
+                0 => step,
+                1 => 1500 - step,
+                _ => random,
+            };
+            let (old, before) = (map.clone(), oracle.len());
+            match u32::arbitrary(&mut g) % 8 {
+                0 => assert_eq!(map.remove(&key), oracle.remove(&key)),
+                1..=5 if step > 1500 => assert_eq!(map.remove(&key), oracle.remove(&key)),
+                6 => assert_eq!(map.get_mut(&key).map(|v| *v += 1), {
+                    oracle.get_mut(&key).map(|v| *v += 1)
+                }),
+                _ => assert_eq!(map.insert(key, step), oracle.insert(key, step)),
+            }
+            assert_eq!((map.len(), old.len()), (oracle.len(), before));
+            assert_eq!((map.get(&random), map.contains_key(&key)), {
+                (oracle.get(&random), oracle.contains_key(&key))
+            });
+            if step % 100 == 0 {
+                assert!(map.iter().eq(&oracle));
+                assert!(map.iter_after(Some(&random)).eq(oracle.range(random + 1..)));
+                assert!(map.iter_after(None::<&u32>).eq(&oracle));
+            }
+        }
+        let mut copy = map.clone();
+        copy.retain(|key, _| key % 3 == 0);
+        copy.get_mut(&0).into_iter().for_each(|value| *value = 9);
+        assert!(map.iter().eq(&oracle), "a change of a copy shows in the map");
+        oracle.retain(|key, _| key % 3 == 0);
+        oracle.get_mut(&0).into_iter().for_each(|value| *value = 9);
+        assert!(copy.iter().eq(&oracle));
+    }
+}
--- a/components/config/tests/suite/stateful.rs
+++ b/components/config/tests/suite/stateful.rs
@@ -17,7 +17,7 @@
 const KEYS: [&[u8]; 4] = [b"k0", b"k1", b"k2", b"k3"];
 
 /// Reads a number that a longer run sets in the environment.
-fn setting(name: &str, default: u64) -> u64 {
+pub fn setting(name: &str, default: u64) -> u64 {
     std::env::var(name).map_or(default, |text| text.parse().expect("a number"))
 }
 
--- a/components/operator/src/pager.rs
+++ b/components/operator/src/pager.rs
@@ -1,8 +1,6 @@
-use std::collections::BTreeMap;
-use std::ops::Bound::{Excluded, Unbounded};
 use std::sync::Arc;
 
-use config::{FleetConfig, Key, KeyDigest};
+use config::{FleetConfig, Key, KeyDigest, SharedMap};
 
 use crate::convert::{read_digest, write_organisation, write_route, write_service};
 use crate::proto::{self, ConfigPart, EntryKind};
@@ -113,12 +111,11 @@
 
 /// The entries after the last one that was sent.
 fn page<K: Ord + Clone, V, M>(
-    map: &BTreeMap<K, V>,
+    map: &SharedMap<K, V>,
     last: &mut Option<K>,
     write: impl Fn(&K, &V) -> M,
 ) -> Vec<M> {
-    let start = last.as_ref().map_or(Unbounded, Excluded);
-    let entries: Vec<_> = map.range((start, Unbounded)).take(PAGE).collect();
+    let entries: Vec<_> = map.iter_after(last.as_ref()).take(PAGE).collect();
     let messages = entries.iter().map(|(id, value)| write(id, value)).collect();
     if let Some((id, _)) = entries.last() {
         *last = Some((*id).clone());
