--- /dev/null
+++ b/components/node/src/view.rs
@@ -0,0 +1,59 @@
+use std::collections::HashMap;
+use std::sync::{Mutex, PoisonError};
+
+use balancer::{rank_arbiters, rank_homes};
+use kernel::VmEntry;
+use kernel::prelude::*;
+
+/// The VMs that this VM takes for live, with rankings that are computed once.
+#[derive(Debug, Default)]
+pub struct View {
+    /// Live VMs; this VM is one of them unless it is leaving.
+    pub vms: Vec<VmEntry>,
+    /// Rankings by service and region.
+    ranked: Mutex<HashMap<(ServiceId, RegionId), Vec<VmEntry>>>,
+    /// Homes of all regions by service.
+    arbiters: Mutex<HashMap<ServiceId, Vec<Incarnation>>>,
+}
+
+impl View {
+    /// A view of these VMs.
+    pub fn new(vms: Vec<VmEntry>) -> Self {
+        View { vms, ranked: Mutex::default(), arbiters: Mutex::default() }
+    }
+
+    /// VMs that may be home of the service in a region, best first.
+    pub fn homes(&self, service: &str, region: &str) -> Vec<VmEntry> {
+        let mut ranked = self.ranked.lock().unwrap_or_else(PoisonError::into_inner);
+        let key = (service.into(), region.into());
+        let rank = || {
+            let order = rank_homes(service, region, &self.vms);
+            order.into_iter().filter_map(|i| self.vm(i)).cloned().collect()
+        };
+        ranked.entry(key).or_insert_with(rank).clone()
+    }
+
+    /// The VM with this incarnation.
+    pub fn vm(&self, incarnation: Incarnation) -> Option<&VmEntry> {
+        self.vms.iter().find(|vm| vm.incarnation == incarnation)
+    }
+
+    /// Homes of a service in all regions, best first.
+    pub fn service_homes(&self, service: &str) -> Vec<Incarnation> {
+        let mut order = self.arbiters.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(order) = order.get(service) {
+            return order.clone();
+        }
+        let mut regions: Vec<&RegionId> = self.vms.iter().map(|vm| &vm.place.region).collect();
+        regions.sort_unstable();
+        regions.dedup();
+        let homes: Vec<Incarnation> = regions
+            .into_iter()
+            .filter_map(|region| self.homes(service, region).first().map(|vm| vm.incarnation))
+            .collect();
+        let mut ranked = rank_arbiters(service, &self.vms);
+        ranked.retain(|vm| homes.contains(vm));
+        order.insert(service.into(), ranked.clone());
+        ranked
+    }
+}
