--- a/components/config/examples/memory.rs
+++ b/components/config/examples/memory.rs
@@ -87,6 +87,10 @@
     }
     show("and 100 changes, the first version still held", start);
     let start = Instant::now();
+    let changed = config.organisations.changes_since(&lookup.config.organisations).count();
+    assert_eq!(changed, 100);
+    show("and its 100 changes found again", start);
+    let start = Instant::now();
     for i in 0..1_000_u32 {
         let key = config.keys.get(&digest_key(&(i * 400).to_be_bytes()));
         assert!(key.is_some(), "key {i} is missing");
--- a/components/config/src/diff.rs
+++ b/components/config/src/diff.rs
@@ -56,13 +56,13 @@
     current: &'a SharedMap<K, V>,
     desired: &'a SharedMap<K, V>,
 ) -> impl Iterator<Item = (&'a K, &'a V)> {
-    desired.iter().filter(|(id, value)| current.get(id) != Some(value))
+    desired.changes_since(current).filter_map(|change| Some((change.key, change.new?)))
 }
 
 /// Names of `current` that `desired` lacks.
-fn dropped<'a, K: Ord, V>(
+fn dropped<'a, K: Ord, V: PartialEq>(
     current: &'a SharedMap<K, V>,
     desired: &'a SharedMap<K, V>,
 ) -> impl Iterator<Item = &'a K> {
-    current.keys().filter(|id| !desired.contains_key(id))
+    desired.changes_since(current).filter(|change| change.new.is_none()).map(|change| change.key)
 }
--- a/components/config/src/shared_map.rs
+++ b/components/config/src/shared_map.rs
@@ -15,7 +15,7 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct Place(u32, u16);
 
-type Chunk<K, V> = Arc<Vec<(K, V)>>;
+pub(crate) type Chunk<K, V> = Arc<Vec<(K, V)>>;
 
 /// A sorted map whose clones share what is the same.
 ///
@@ -56,6 +56,11 @@
         Iter { chunks: self.chunks.iter(), entries: [].iter() }
     }
 
+    /// The chunks, in order.
+    pub(crate) fn chunks(&self) -> &[Chunk<K, V>] {
+        &self.chunks
+    }
+
     /// Entries in order with their places.
     pub(crate) fn places(&self) -> impl Iterator<Item = (Place, &K, &V)> {
         self.chunks.iter().zip(0..).flat_map(|(chunk, at)| {
--- a/components/config/tests/suite/shared_map.rs
+++ b/components/config/tests/suite/shared_map.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use config::SharedMap;
+use config::{MapChange, SharedMap};
 use quickcheck::{Arbitrary, Gen};
 
 use crate::stateful::setting;
@@ -46,6 +46,7 @@
                 assert!(map.iter_after(None::<&u32>).eq(&oracle));
             }
         }
+        check_changes(&mut g, &map);
         let mut copy = map.clone();
         copy.retain(|key, _| key % 3 == 0);
         copy.get_mut(&0).into_iter().for_each(|value| *value = 9);
@@ -55,3 +56,22 @@
         assert!(copy.iter().eq(&oracle));
     }
 }
+
+/// Compares the changes between two versions that share most chunks with a plain comparison.
+fn check_changes(g: &mut Gen, old: &SharedMap<u32, u32>) {
+    let mut new = old.clone();
+    assert_eq!(new.changes_since(old).next(), None);
+    for _ in 0..u32::arbitrary(g) % 40 {
+        let key = u32::arbitrary(g) % 2000;
+        match u32::arbitrary(g) % 3 {
+            0 => drop(new.remove(&key)),
+            _ => drop(new.insert(key, u32::arbitrary(g) % 4)),
+        }
+    }
+    let keys: std::collections::BTreeSet<u32> = old.keys().chain(new.keys()).copied().collect();
+    let changes = keys.iter().filter_map(|key| {
+        let (old, new) = (old.get(key), new.get(key));
+        (old != new).then_some(MapChange { key, old, new })
+    });
+    assert!(new.changes_since(old).eq(changes));
+}
