--- a/components/config/examples/memory.rs
+++ b/components/config/examples/memory.rs
@@ -31,7 +31,7 @@
     let mut config = FleetConfig::default();
     for i in 0..ORGANISATIONS {
         let rate = Rate { per_second: f64::from(i % 100), burst: 20.0 };
-        let id: Box<str> = format!("organisation-{i:06}").into();
+        let id = config::Name::from(format!("organisation-{i:06}"));
         config.organisations.insert(id.clone(), Organisation { rate, weight: 1.0 });
         let key = config::Key { organisation: id, withdrawn: false };
         config.keys.insert(digest_key(&i.to_be_bytes()), key);
--- a/components/config/src/apply.rs
+++ b/components/config/src/apply.rs
@@ -67,7 +67,7 @@
         }
         Change::IssueKey { digest, .. } => match config.keys.get(digest) {
             Some(key) if key.withdrawn => Some(FaultKind::KeyWithdrawn),
-            Some(key) => Some(FaultKind::KeyExists(key.organisation.clone())),
+            Some(key) => Some(FaultKind::KeyExists(key.organisation.clone().into())),
             None => None,
         },
         Change::WithdrawKey { digest } if !config.keys.contains_key(digest) => {
@@ -81,7 +81,7 @@
 fn enact(config: &mut FleetConfig, change: &Change) {
     match change {
         Change::PutOrganisation { id, organisation } => {
-            config.organisations.insert(id.clone(), organisation.clone());
+            config.organisations.insert(id.into(), organisation.clone());
         }
         Change::RemoveOrganisation { id } => {
             config.organisations.remove(id);
@@ -104,7 +104,7 @@
             config.routes.remove(id);
         }
         Change::IssueKey { digest, organisation } => {
-            let key = Key { organisation: organisation.clone(), withdrawn: false };
+            let key = Key { organisation: organisation.into(), withdrawn: false };
             if !config.keys.contains_key(digest) {
                 config.keys.insert(*digest, key);
             }
--- a/components/config/src/desired.rs
+++ b/components/config/src/desired.rs
@@ -2,7 +2,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::{FleetConfig, Key, KeyDigest, Organisation, Route, Service, SharedMap};
+use crate::{FleetConfig, Key, KeyDigest, Name, Organisation, Route, Service, SharedMap};
 
 /// A file is not a desired state.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
@@ -21,7 +21,7 @@
 #[serde(deny_unknown_fields)]
 pub struct DesiredState {
     /// Organisations by name.
-    pub organisations: SharedMap<OrganisationId, Organisation>,
+    pub organisations: SharedMap<Name, Organisation>,
     /// Services by name.
     pub services: SharedMap<ServiceId, Service>,
     /// Routes by name.
--- a/components/config/src/diff.rs
+++ b/components/config/src/diff.rs
@@ -8,7 +8,7 @@
 pub fn diff(current: &FleetConfig, desired: &FleetConfig) -> Vec<Change> {
     let mut changes = Vec::new();
     for (id, organisation) in altered(&current.organisations, &desired.organisations) {
-        let (id, organisation) = (id.clone(), organisation.clone());
+        let (id, organisation) = (id.clone().into(), organisation.clone());
         changes.push(Change::PutOrganisation { id, organisation });
     }
     for (id, service) in altered(&current.services, &desired.services) {
@@ -25,7 +25,7 @@
         changes.push(Change::RemoveService { id: id.clone() });
     }
     for id in dropped(&current.organisations, &desired.organisations) {
-        changes.push(Change::RemoveOrganisation { id: id.clone() });
+        changes.push(Change::RemoveOrganisation { id: id.clone().into() });
     }
     changes
 }
@@ -34,7 +34,7 @@
     for (digest, key) in altered(&current.keys, &desired.keys) {
         let same = current.keys.get(digest).filter(|old| old.organisation == key.organisation);
         if same.is_none_or(|old| old.withdrawn) {
-            let (digest, organisation) = (*digest, key.organisation.clone());
+            let (digest, organisation) = (*digest, key.organisation.clone().into());
             changes.push(Change::IssueKey { digest, organisation });
         }
         // The removal of an organisation withdraws its keys.
--- a/components/config/src/lookup.rs
+++ b/components/config/src/lookup.rs
@@ -93,11 +93,11 @@
             }
             Some(key)
                 if !route.organisations.is_empty()
-                    && !route.organisations.contains(&key.organisation) =>
+                    && !route.organisations.iter().any(|id| key.organisation == *id) =>
             {
                 Access::Denied(RefusalKind::KeyForeign)
             }
-            Some(key) => Access::Granted(key.organisation.clone()),
+            Some(key) => Access::Granted(key.organisation.clone().into()),
         }
     }
 }
--- a/components/config/src/model.rs
+++ b/components/config/src/model.rs
@@ -1,7 +1,7 @@
 use kernel::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::{KeyDigest, SharedMap};
+use crate::{KeyDigest, Name, SharedMap};
 
 /// A customer of the operator.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -18,7 +18,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Key {
     /// Organisation that requests with this key run for.
-    pub organisation: OrganisationId,
+    pub organisation: Name,
     /// True once the key was withdrawn; a withdrawn key never works again.
     #[serde(default)]
     pub withdrawn: bool,
@@ -68,7 +68,7 @@
     /// Version; 0 is the empty configuration of a new fleet.
     pub version: Version,
     /// Organisations by name.
-    pub organisations: SharedMap<OrganisationId, Organisation>,
+    pub organisations: SharedMap<Name, Organisation>,
     /// Keys by digest.
     pub keys: SharedMap<KeyDigest, Key>,
     /// Services by name.
--- a/components/config/src/shared_map.rs
+++ b/components/config/src/shared_map.rs
@@ -1,9 +1,10 @@
-use std::borrow::Borrow;
 use std::fmt;
 use std::ops::Index;
 use std::slice;
 use std::sync::Arc;
 
+use crate::MapKey;
+
 /// Entries of a full chunk. A change copies one chunk; a clone of the map copies one pointer for
 /// each chunk, 3,750 for 480,000 entries.
 const FULL: usize = 128;
@@ -87,57 +88,57 @@
 
 impl<K: Ord, V> SharedMap<K, V> {
     /// The chunk that has the key or would take it; 0 if there is none.
-    fn find_chunk<Q: Ord + ?Sized>(&self, key: &Q) -> usize
+    fn find_chunk<Q: ?Sized>(&self, key: &Q) -> usize
     where
-        K: Borrow<Q>,
+        K: MapKey<Q>,
     {
-        self.chunks.partition_point(|chunk| chunk[0].0.borrow() <= key).saturating_sub(1)
+        self.chunks.partition_point(|chunk| chunk[0].0.compare(key).is_le()).saturating_sub(1)
     }
 
     /// Chunk and place of a key.
-    fn find<Q: Ord + ?Sized>(&self, key: &Q) -> Option<(usize, usize)>
+    fn find<Q: ?Sized>(&self, key: &Q) -> Option<(usize, usize)>
     where
-        K: Borrow<Q>,
+        K: MapKey<Q>,
     {
         let at = self.find_chunk(key);
-        let place = self.chunks.get(at)?.binary_search_by(|entry| entry.0.borrow().cmp(key));
+        let place = self.chunks.get(at)?.binary_search_by(|entry| entry.0.compare(key));
         Some((at, place.ok()?))
     }
 
     /// The value of a key.
-    pub fn get<Q: Ord + ?Sized>(&self, key: &Q) -> Option<&V>
+    pub fn get<Q: ?Sized>(&self, key: &Q) -> Option<&V>
     where
-        K: Borrow<Q>,
+        K: MapKey<Q>,
     {
         let (at, place) = self.find(key)?;
         Some(&self.chunks[at][place].1)
     }
 
     /// Whether the key has a value.
-    pub fn contains_key<Q: Ord + ?Sized>(&self, key: &Q) -> bool
+    pub fn contains_key<Q: ?Sized>(&self, key: &Q) -> bool
     where
-        K: Borrow<Q>,
+        K: MapKey<Q>,
     {
         self.find(key).is_some()
     }
 
     /// Entries in order that come after a key; all for none.
-    pub fn iter_after<Q: Ord + ?Sized>(&self, key: Option<&Q>) -> impl Iterator<Item = (&K, &V)>
+    pub fn iter_after<Q: ?Sized>(&self, key: Option<&Q>) -> impl Iterator<Item = (&K, &V)>
     where
-        K: Borrow<Q>,
+        K: MapKey<Q>,
     {
         let first = key.map_or(0, |key| self.find_chunk(key));
         let entries = self.chunks[first.min(self.chunks.len())..].iter().flat_map(|c| c.iter());
-        let after = move |entry: &&(K, V)| key.is_some_and(|key| entry.0.borrow() <= key);
+        let after = move |entry: &&(K, V)| key.is_some_and(|key| entry.0.compare(key).is_le());
         entries.skip_while(after).map(|(key, value)| (key, value))
     }
 }
 
 impl<K: Ord + Clone, V: Clone> SharedMap<K, V> {
     /// The value of a key, for a change. Copies the chunk if another map shares it.
-    pub fn get_mut<Q: Ord + ?Sized>(&mut self, key: &Q) -> Option<&mut V>
+    pub fn get_mut<Q: ?Sized>(&mut self, key: &Q) -> Option<&mut V>
     where
-        K: Borrow<Q>,
+        K: MapKey<Q>,
     {
         let (at, place) = self.find(key)?;
         Some(&mut Arc::make_mut(&mut self.chunks[at])[place].1)
@@ -179,9 +180,9 @@
     }
 
     /// Removes a key and returns the value that it had.
-    pub fn remove<Q: Ord + ?Sized>(&mut self, key: &Q) -> Option<V>
+    pub fn remove<Q: ?Sized>(&mut self, key: &Q) -> Option<V>
     where
-        K: Borrow<Q>,
+        K: MapKey<Q>,
     {
         let (at, place) = self.find(key)?;
         self.len -= 1;
@@ -252,7 +253,7 @@
     }
 }
 
-impl<K: Ord + Borrow<Q>, Q: Ord + ?Sized, V> Index<&Q> for SharedMap<K, V> {
+impl<K: Ord + MapKey<Q>, Q: ?Sized, V> Index<&Q> for SharedMap<K, V> {
     type Output = V;
 
     /// Panics if the key has no value, like the maps of the standard library.
--- a/components/operator/src/pager.rs
+++ b/components/operator/src/pager.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use config::{FleetConfig, Key, KeyDigest, SharedMap};
+use config::{FleetConfig, Key, KeyDigest, Name, SharedMap};
 
 use crate::convert::{read_digest, write_organisation, write_route, write_service};
 use crate::proto::{self, ConfigPart, EntryKind};
@@ -15,7 +15,9 @@
     config: Arc<FleetConfig>,
     /// Kinds still to send, the next one last.
     kinds: Vec<EntryKind>,
-    /// Last name of the kind that was sent.
+    /// Last organisation that was sent.
+    organisation: Option<Name>,
+    /// Last service or route that was sent.
     name: Option<Box<str>>,
     /// Last key that was sent.
     digest: Option<KeyDigest>,
@@ -28,7 +30,7 @@
     pub(crate) fn new(config: Arc<FleetConfig>, wanted: &[EntryKind]) -> Self {
         let all = [EntryKind::Route, EntryKind::Service, EntryKind::Key, EntryKind::Organisation];
         let kinds = all.into_iter().filter(|k| wanted.is_empty() || wanted.contains(k)).collect();
-        Pager { config, kinds, name: None, digest: None, sent: false }
+        Pager { config, kinds, organisation: None, name: None, digest: None, sent: false }
     }
 
     fn fill(&mut self, kind: EntryKind) -> ConfigPart {
@@ -38,7 +40,9 @@
             EntryKind::Unspecified => {}
             EntryKind::Organisation => {
                 part.organisations =
-                    page(&config.organisations, name, |id, o| write_organisation(id, o));
+                    page(&config.organisations, &mut self.organisation, |id, o| {
+                        write_organisation(id, o)
+                    });
             }
             EntryKind::Key => part.keys = page(&config.keys, &mut self.digest, write_key),
             EntryKind::Service => {
@@ -86,7 +90,10 @@
             OperatorError::Internal(text.into())
         };
         config.version = self.version;
-        config.organisations.extend(self.organisations.into_iter().map(Into::into));
+        for organisation in self.organisations {
+            let (id, organisation): (Box<str>, _) = organisation.into();
+            config.organisations.insert(id.into(), organisation);
+        }
         config.routes.extend(self.routes.into_iter().map(Into::into));
         for key in self.keys {
             let digest = read_digest(&key.digest).map_err(garbled)?;
