--- /dev/null
+++ b/components/retry/tests/retry/main.rs
@@ -0,0 +1,6 @@
+//! Tests of retries, keys and the crash guard.
+
+mod answers;
+mod crash;
+mod fuzz;
+mod policy;
--- /dev/null
+++ b/components/retry/tests/retry/policy.rs
@@ -0,0 +1,110 @@
+use std::time::Duration;
+
+use retry::{
+    HedgePolicy, IdempotencyKey, KeyError, MAX_TRIES, RetryBudget, RetryDenied, RetryRequest,
+    SentState, issue_prefix, may_retry,
+};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn request() -> RetryRequest<'static> {
+    RetryRequest {
+        service: "s",
+        organisation: "o",
+        idempotent: true,
+        sent: SentState::MaybeSent,
+        tried: 1,
+        deadline: MS * 1000,
+        expected: MS * 20,
+    }
+}
+
+/// Guards against retries above 5% of the first attempts, and against saving up for a burst.
+#[test]
+fn budget_is_a_part_of_first_attempts() {
+    let mut budget = RetryBudget::default();
+    let mut taken = 0;
+    for _ in 0..10_000 {
+        budget.first_attempt("s", "o");
+        taken += u32::from(budget.take("s", "o"));
+    }
+    assert!((500..=502).contains(&taken), "{taken}");
+    for _ in 0..10_000 {
+        budget.first_attempt("s", "o");
+    }
+    let burst = (0..100).filter(|_| budget.take("s", "o")).count();
+    assert_eq!(burst, 10);
+    assert!(budget.take("s", "other"), "another organisation has its own budget");
+    budget.retain(|_, organisation| organisation != "o");
+    assert!(budget.has("s", "o"), "a new organisation starts with its allowance");
+}
+
+/// Guards against a second run of what may not run twice, and against retries without an end.
+#[test]
+fn each_denial_has_its_reason() {
+    let mut budget = RetryBudget::default();
+    let mut ask = |change: fn(&mut RetryRequest<'static>)| {
+        let mut r = request();
+        change(&mut r);
+        may_retry(MS * 100, &r, &mut budget)
+    };
+    assert_eq!(ask(|r| r.idempotent = false), Err(RetryDenied::MayHaveRun));
+    assert_eq!(ask(|r| r.tried = MAX_TRIES), Err(RetryDenied::Tries));
+    assert_eq!(ask(|r| r.expected = MS * 900), Err(RetryDenied::Deadline));
+    let unsent = |r: &mut RetryRequest<'static>| {
+        (r.idempotent, r.sent) = (false, SentState::NotSent);
+    };
+    for _ in 0..10 {
+        assert_eq!(ask(unsent), Ok(()), "an unsent request costs no budget");
+    }
+    assert_eq!(ask(|r| (r.idempotent, r.sent) = (false, SentState::RefusedUnrun)), Ok(()));
+    assert_eq!(ask(|_| ()), Ok(()));
+    assert_eq!(ask(|_| ()), Err(RetryDenied::Budget));
+}
+
+/// Guards against hedges of what may not run twice, too early ones and useless ones.
+#[test]
+fn hedge_delay_follows_the_service() {
+    let mut policy = HedgePolicy::default();
+    assert_eq!(policy.due(MS, MS, MS * 1000, true), None, "nothing is known yet");
+    for i in 0..1000 {
+        policy.add(MS * if i % 100 < 96 { 50 } else { 400 });
+    }
+    let delay = policy.delay().expect("enough samples");
+    assert!((MS * 49..MS * 52).contains(&delay), "{delay:?}");
+    assert_eq!(policy.due(MS * 30, MS * 10, MS * 1000, true), Some(delay - MS * 20));
+    assert_eq!(policy.due(MS * 10, MS * 10, MS * 1000, false), None);
+    assert_eq!(policy.due(MS * 10, MS * 10, MS * 80, true), None, "it could not be in time");
+    for _ in 0..3000 {
+        policy.add(MS * 200);
+    }
+    assert!(policy.delay().is_some_and(|d| d > MS * 190), "the service became slower");
+}
+
+/// Guards against two spellings of one key and against keys of unknown form.
+#[test]
+fn keys_have_one_spelling() {
+    let parse = |text: &str| IdempotencyKey::try_from(text);
+    let text = format!("{}n.1", issue_prefix(0xab, 17));
+    assert_eq!(text, "v1.00000000000000ab.17.n.1");
+    let issued = IdempotencyKey::Issued { incarnation: 0xab, second: 17, nonce: "n.1".into() };
+    assert_eq!(parse(&text), Ok(issued.clone()));
+    assert_eq!(issued.to_string(), text);
+    for own in ["order-7", "v", "v1", "version.2", "vx.1"] {
+        assert_eq!(parse(own), Ok(IdempotencyKey::CallerMade(own.into())));
+        assert_eq!(parse(own).map(|k| k.to_string()), Ok(own.to_owned()));
+    }
+    let bad = |text: &str| parse(text).expect_err(text);
+    assert_eq!(bad(""), KeyError::Empty);
+    assert_eq!(bad(&"k".repeat(129)), KeyError::TooLong(129));
+    assert_eq!(bad("a b"), KeyError::Byte(b' '));
+    assert_eq!(bad("v2.x"), KeyError::Format("v2".into()));
+    assert_eq!(bad("v1.ab.1.n"), KeyError::Incarnation("ab".into()));
+    assert_eq!(bad("v1.00000000000000AB.1.n"), KeyError::Incarnation("00000000000000AB".into()));
+    assert_eq!(bad("v1.0000000000000000.1.n"), KeyError::Incarnation("0000000000000000".into()));
+    for second in ["01", "+1", "", "-1", "99999999999999999999999"] {
+        let text = format!("v1.00000000000000ab.{second}.n");
+        assert_eq!(bad(&text), KeyError::Second(second.into()));
+    }
+    assert_eq!(bad("v1.00000000000000ab.1."), KeyError::Nonce(0));
+}
