--- a/components/retry/tests/retry/answers.rs
+++ b/components/retry/tests/retry/answers.rs
@@ -29,7 +29,7 @@
         let pick = u8::arbitrary(g);
         let how = u8::arbitrary(g);
         match u8::arbitrary(g) % 14 {
-            0..5 => Op::Begin { pick, body: how % 5 == 0 },
+            0..5 => Op::Begin { pick, body: how.is_multiple_of(5) },
             5..8 => Op::Finish { pick, how },
             8..10 => Op::Claimed { pick, how },
             // Times around the second of issue and the end of the retention are the hard ones.
@@ -155,13 +155,13 @@
             return Ok(());
         };
         self.clock = self.clock.max(now);
-        let wanted = if how % 8 == 0 { (OWN + 1, 1) } else { (OWN, attempt) };
-        let row = if how % 5 == 0 {
+        let wanted = if how.is_multiple_of(8) { (OWN + 1, 1) } else { (OWN, attempt) };
+        let row = if how.is_multiple_of(5) {
             None
         } else {
             Some(*self.claims.entry(id.clone()).or_insert(wanted))
         };
-        let claimed = match row.filter(|_| how % 3 != 0) {
+        let claimed = match row.filter(|_| !how.is_multiple_of(3)) {
             Some((incarnation, attempt)) => Claimed::Row { incarnation, attempt },
             None => Claimed::Failed,
         };
--- a/components/retry/tests/retry/crash.rs
+++ b/components/retry/tests/retry/crash.rs
@@ -32,10 +32,10 @@
         match u8::arbitrary(g) % 16 {
             0..5 => Op::Crash { home: pick % 2 },
             5 => Op::Bystander { home: pick % 2, number: pick / 2 % 3 },
-            6..11 => Op::Deliver { pick, twice: u8::arbitrary(g) % 4 == 0 },
+            6..11 => Op::Deliver { pick, twice: u8::arbitrary(g).is_multiple_of(4) },
             11 => Op::Lose { pick },
             12..15 => Op::Wait { ms: u16::arbitrary(g) % [30, 300, 3000][usize::from(pick) % 3] },
-            _ => Op::Disagree { on: pick % 2 == 0 },
+            _ => Op::Disagree { on: pick.is_multiple_of(2) },
         }
     }
 }
