Test the failure detector over a simulated network and mend what that found

Gossip with a bounded number of copies left views wrong: a VM missed a refutation or the join of another, and one that had been paused took a process for newer than its successor. A VM that is spoken of wrongly now answers with its own entry, a suspect is pinged by up to 64 VMs, pings mention recent changes and dead VMs in turn, and a process taken for dead gives way to any that lives.

--- a/components/membership/src/apply.rs
+++ b/components/membership/src/apply.rs
@@ -2,47 +2,51 @@
 
 use kernel::{Incarnation, Uptime, VmEntry, VmState};
 
-use crate::member::Member;
+use crate::member::{Burial, Member};
 use crate::{Membership, MembershipAction, Status, Update};
 
 impl Membership {
-    /// Takes one statement about a VM.
+    /// Takes one statement about a VM. Returns whether it is wrong about this VM, so that the
+    /// sender needs to hear the truth.
     pub(crate) fn apply(
         &mut self,
         now: Uptime,
         update: Update,
         actions: &mut Vec<MembershipAction>,
-    ) {
+    ) -> bool {
         if update.incarnation == self.own.incarnation {
-            self.refute(&update);
-        } else if self.members.contains_key(&update.incarnation) {
+            return self.refute(&update);
+        }
+        if self.members.contains_key(&update.incarnation) {
             self.change(now, update, actions);
         } else {
             self.meet(now, update, actions);
         }
+        false
     }
 
-    /// Contradicts what others say of this VM.
-    fn refute(&mut self, update: &Update) {
+    /// Contradicts what others say of this VM; returns whether they are wrong.
+    fn refute(&mut self, update: &Update) -> bool {
         let leaving = self.own.state == VmState::Leaving;
         let own = if leaving { Status::Left } else { Status::Alive };
         if (update.generation, update.status) > (self.generation, own) {
             self.generation = update.generation + 1;
             self.gossip.queue(self.own.incarnation, self.transmissions());
         }
+        update.status != own
     }
 
     /// Takes a statement about a VM that is not known.
     fn meet(&mut self, now: Uptime, update: Update, actions: &mut Vec<MembershipAction>) {
         let Some(about) = update.about.filter(|_| update.status == Status::Alive) else {
             if update.status >= Status::Dead {
-                self.bury_unseen(now, update.incarnation, update.generation);
+                self.bury_unseen(now, update.incarnation, update.generation, update.status);
             }
             return;
         };
         // A VM that was buried unseen comes back by a refutation, which has a higher generation.
         let buried = self.buried.get(&update.incarnation);
-        if buried.is_some_and(|(_, generation)| update.generation <= *generation) {
+        if buried.is_some_and(|b| update.generation <= b.generation) {
             return;
         }
         let started = now.as_secs_f64() - Duration::from_millis(about.up_ms).as_secs_f64();
@@ -50,10 +54,8 @@
             return;
         }
         if let Some(other) = self.names.get(&about.entry.vm).copied() {
-            let newer =
-                self.members.get(&other).and_then(|m| m.started).is_none_or(|s| started > s);
-            if !newer {
-                self.bury_unseen(now, update.incarnation, update.generation);
+            if self.is_older(Some(started), other) {
+                self.bury_unseen(now, update.incarnation, update.generation, Status::Left);
                 return;
             }
             self.replace(now, other, actions);
@@ -63,9 +65,20 @@
         self.gossip.queue(update.incarnation, self.transmissions());
     }
 
-    fn bury_unseen(&mut self, now: Uptime, incarnation: Incarnation, generation: u32) {
-        let buried = self.buried.entry(incarnation).or_insert((now, generation));
-        *buried = (now, generation.max(buried.1));
+    /// Whether a process that started then is older than `other` of the same VM. The times are
+    /// estimates; a process that is taken for dead gives way to any that lives.
+    fn is_older(&self, started: Option<f64>, other: Incarnation) -> bool {
+        let other = self.members.get(&other).filter(|m| m.is_live());
+        other.is_some_and(|m| m.started.is_some() && started <= m.started)
+    }
+
+    fn bury_unseen(&mut self, now: Uptime, who: Incarnation, generation: u32, status: Status) {
+        let new = Burial { at: now, generation, status };
+        let buried = self.buried.entry(who).or_insert(new);
+        if (generation, status) > (buried.generation, buried.status) {
+            *buried = new;
+        }
+        buried.at = now;
     }
 
     /// Takes a statement about a VM that is known.
@@ -76,15 +89,15 @@
         };
         if let Some(about) = &update.about {
             let up = Duration::from_millis(about.up_ms).as_secs_f64();
-            member.started.get_or_insert(now.as_secs_f64() - up);
+            // Delays make the start seem later than it was.
+            let started = now.as_secs_f64() - up;
+            member.started = Some(member.started.map_or(started, |s| s.min(started)));
         }
         let known = (member.generation, member.status);
         let said = (update.generation, update.status);
         if said < known {
-            // The sender lags behind; this VM's next message tells more.
-            if member.status >= Status::Dead {
-                self.gossip.remind(incarnation);
-            }
+            // The sender lags behind; this VM's answer tells more.
+            self.gossip.remind(incarnation);
             return;
         }
         let since = now.saturating_sub(Duration::from_millis(update.age_ms.into()));
@@ -93,11 +106,13 @@
             return;
         }
         member.generation = update.generation;
+        member.changed = now;
         match update.status {
             Status::Alive => self.revive(now, incarnation, actions),
             Status::Suspect => {
                 member.status = Status::Suspect;
                 member.since = since;
+                member.checked = false;
                 if known.1 == Status::Alive {
                     actions.push(MembershipAction::Suspected { incarnation });
                 }
@@ -120,8 +135,7 @@
         };
         let holder = self.names.get(&member.entry.vm).copied();
         if let Some(other) = holder.filter(|o| *o != incarnation) {
-            let start = |i: &Incarnation| self.members.get(i).and_then(|m| m.started);
-            if start(&incarnation) <= start(&other) {
+            if self.is_older(member.started, other) {
                 return;
             }
             self.replace(now, other, actions);
@@ -154,7 +168,16 @@
         self.names.insert(entry.vm.clone(), incarnation);
         actions.push(MembershipAction::Joined { entry: entry.clone() });
         let status = Status::Alive;
-        let member = Member { entry, generation, status, since: now, started, heard: None };
+        let member = Member {
+            entry,
+            generation,
+            status,
+            since: now,
+            changed: now,
+            started,
+            checked: false,
+            heard: None,
+        };
         self.members.insert(incarnation, member);
     }
 
@@ -169,7 +192,9 @@
             && member.status == Status::Alive
         {
             member.status = Status::Suspect;
-            member.since = now;
+            (member.since, member.changed) = (now, now);
+            // The ping that found it was one.
+            member.checked = true;
             self.gossip.queue(incarnation, times);
             actions.push(MembershipAction::Suspected { incarnation });
         }
@@ -186,7 +211,7 @@
             && member.is_live()
         {
             member.status = Status::Dead;
-            member.since = now;
+            (member.since, member.changed) = (now, now);
             self.gossip.queue(incarnation, times);
             actions.push(MembershipAction::Died { incarnation });
         }
@@ -206,7 +231,7 @@
         member.status = Status::Left;
         member.entry.state = VmState::Leaving;
         if was < Status::Left {
-            member.since = now;
+            (member.since, member.changed) = (now, now);
             self.gossip.queue(incarnation, times);
             if self.names.get(&member.entry.vm) == Some(&incarnation) {
                 self.names.remove(&member.entry.vm);
--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -1,6 +1,7 @@
 //! Failure detector of the VMs of the fleet.
 
 mod apply;
+mod compose;
 mod gossip;
 mod member;
 mod membership;
--- a/components/membership/src/member.rs
+++ b/components/membership/src/member.rs
@@ -10,6 +10,10 @@
     pub status: Status,
     /// Time of the status, on this VM's clock.
     pub since: Uptime,
+    /// When this VM took over the status.
+    pub changed: Uptime,
+    /// Whether this VM has pinged it since it became suspect.
+    pub checked: bool,
     /// Start of its process in seconds on this VM's clock, negative if before its own start; none
     /// while only the platform's list has named it.
     pub started: Option<f64>,
@@ -27,3 +31,13 @@
         self.status <= Status::Suspect
     }
 }
+
+/// What this VM knows of an incarnation that is gone and that it never met.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Burial {
+    /// Last time that it was said to be gone.
+    pub at: Uptime,
+    pub generation: u32,
+    /// `Dead` or `Left`.
+    pub status: Status,
+}
--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -2,13 +2,13 @@
 use std::time::Duration;
 
 use kernel::{Incarnation, Uptime, Version, VmEntry, VmId, VmState};
-use rand::RngCore;
 use rand::seq::{IteratorRandom, SliceRandom};
+use rand::{Rng, RngCore};
 
 use crate::gossip::Gossip;
-use crate::member::Member;
+use crate::member::{Burial, Member};
 use crate::probe::{ProbeEvent, Probes};
-use crate::{MembershipAction, MembershipMessage, MessageKind, Peer, Status, Update, UpdateEntry};
+use crate::{MembershipAction, MembershipMessage, MessageKind, Peer, Status};
 
 /// Time between two rounds of pings.
 pub const PERIOD: Duration = Duration::from_millis(200);
@@ -17,15 +17,14 @@
 pub const PINGS: usize = 2;
 /// VMs that are asked to ping one that does not answer.
 const HELPERS: usize = 3;
+/// VMs that ping a suspect, as a mean.
+const CHECKS: f64 = 64.0;
 /// Rounds between two pings of a VM taken for dead, so that a healed partition is noticed.
 const DEAD_ROUNDS: u64 = 5;
-/// Most updates of a message.
-const MOST_UPDATES: usize = 8;
-/// Most bytes of the updates of a message. With 120 bytes of frame, four messages a round and one
-/// for a dead VM each second this bounds the fleet's traffic to about 13 KB/s a VM.
-const MOST_BYTES: usize = 480;
 /// Silence between two ticks after which this process is taken to have been paused.
 const PAUSE: Duration = Duration::from_millis(600);
+/// Time that a change is mentioned now and then, after its gossip has ended.
+const RECENT: Duration = Duration::from_secs(60);
 /// Time that dead VMs and those that left are remembered: longer than the list of the platform
 /// lags, and as long as the longest outage of the store.
 const REMEMBER: Duration = Duration::from_secs(4 * 3600);
@@ -50,16 +49,19 @@
     pub(crate) members: HashMap<Incarnation, Member>,
     /// Incarnation of each VM name that is live or dead, but not left.
     pub(crate) names: HashMap<VmId, Incarnation>,
-    /// Dead and left incarnations of which no description was known, with the time and generation.
-    pub(crate) buried: HashMap<Incarnation, (Uptime, u32)>,
+    /// Dead and left incarnations of which no description was known.
+    pub(crate) buried: HashMap<Incarnation, Burial>,
     pub(crate) gossip: Gossip,
     pub(crate) probes: Probes,
+    /// VMs that changed lately or are taken for dead, in fixed order, and the next one to mention.
+    pub(crate) recent: Vec<Incarnation>,
+    pub(crate) turn: usize,
     /// VMs still to ping in this pass, in random order.
     ring: Vec<Incarnation>,
     /// Entries of the platform's list that have not answered yet.
     candidates: Vec<VmEntry>,
-    version: Version,
-    confirmed: Uptime,
+    pub(crate) version: Version,
+    pub(crate) confirmed: Uptime,
     next: Uptime,
     last: Uptime,
     rounds: u64,
@@ -76,6 +78,8 @@
             buried: HashMap::new(),
             gossip: Gossip::default(),
             probes: Probes::default(),
+            recent: Vec::new(),
+            turn: 0,
             ring: Vec::new(),
             candidates: Vec::new(),
             version: 0,
@@ -171,8 +175,9 @@
     ) -> Vec<MembershipAction> {
         let mut actions = Vec::new();
         let sender = Peer { incarnation: from, address: message.address };
+        let mut doubted = false;
         for update in message.updates {
-            self.apply(now, update, &mut actions);
+            doubted |= self.apply(now, update, &mut actions);
         }
         if let Some(member) = self.members.get_mut(&from) {
             member.heard = Some(now);
@@ -180,7 +185,8 @@
         let stranger = !self.members.contains_key(&from);
         match message.kind {
             MessageKind::Ping { .. } => {
-                let ack = self.message(now, from, MessageKind::Ack, message.seq, message.unknown);
+                let introduce = message.unknown || doubted;
+                let ack = self.message(now, from, MessageKind::Ack, message.seq, introduce);
                 actions.push(MembershipAction::Send { to: sender, message: ack });
             }
             MessageKind::Ack => {
@@ -199,8 +205,9 @@
             MessageKind::Hello => {}
         }
         let answered = matches!(message.kind, MessageKind::Ping { .. });
-        if !answered && (message.unknown || stranger) {
-            let hello = self.message(now, from, MessageKind::Hello, 0, message.unknown);
+        if !answered && (message.unknown || doubted || stranger) {
+            let introduce = message.unknown || doubted;
+            let hello = self.message(now, from, MessageKind::Hello, 0, introduce);
             actions.push(MembershipAction::Send { to: sender, message: hello });
         }
         actions
@@ -216,8 +223,12 @@
         if self.rounds == 1 {
             self.gossip.queue(self.own.incarnation, self.transmissions());
         }
+        let recent = |m: &&Member| m.status == Status::Dead || now < m.changed + RECENT;
+        self.recent = self.members.values().filter(recent).map(|m| m.entry.incarnation).collect();
+        self.recent.sort_unstable();
+        let mut suspect = self.next_suspect(rng);
         for _ in 0..PINGS {
-            let Some(peer) = self.next_peer(rng) else { break };
+            let Some(peer) = suspect.take().or_else(|| self.next_peer(rng)) else { break };
             let seq = self.probes.open(now, peer);
             self.ping(now, peer, seq, actions);
         }
@@ -234,6 +245,26 @@
         }
     }
 
+    /// A suspect that this VM has not pinged as such. Its answer carries the refutation, which the
+    /// gossip may not bring in time. In a large fleet only some VMs ping a suspect.
+    fn next_suspect(&mut self, rng: &mut dyn RngCore) -> Option<Peer> {
+        let part = (CHECKS / (self.members.len() + 1) as f64).min(1.0);
+        let mut open: Vec<&mut Member> = self
+            .members
+            .values_mut()
+            .filter(|m| m.status == Status::Suspect && !m.checked)
+            .collect();
+        // The order of a hash map differs between runs of one seed.
+        open.sort_unstable_by_key(|m| m.entry.incarnation);
+        for member in open {
+            member.checked = true;
+            if rng.random_bool(part) {
+                return Some(member.peer());
+            }
+        }
+        None
+    }
+
     /// The next VM to ping. Each pass over the live VMs has its own random order.
     fn next_peer(&mut self, rng: &mut dyn RngCore) -> Option<Peer> {
         for pass in 0..2 {
@@ -278,82 +309,6 @@
         actions.push(MembershipAction::Send { to, message });
     }
 
-    /// A message to `to` with as many updates as fit. `introduce` adds this VM's own entry.
-    fn message(
-        &mut self,
-        now: Uptime,
-        to: Incarnation,
-        kind: MessageKind,
-        seq: u64,
-        introduce: bool,
-    ) -> Box<MembershipMessage> {
-        let mut about: Vec<Incarnation> = Vec::new();
-        // A VM that is not taken for alive must hear it, to refute.
-        if self.members.get(&to).is_some_and(|m| m.status != Status::Alive) {
-            about.push(to);
-        }
-        if introduce {
-            about.push(self.own.incarnation);
-        }
-        for incarnation in self.gossip.first(MOST_UPDATES) {
-            if !about.contains(&incarnation) {
-                about.push(incarnation);
-            }
-        }
-        let (mut updates, mut bytes) = (Vec::new(), 0);
-        for incarnation in about {
-            let Some(update) = self.statement(now, incarnation) else {
-                self.gossip.forget(incarnation);
-                continue;
-            };
-            bytes += update.size();
-            if !updates.is_empty() && (bytes > MOST_BYTES || updates.len() >= MOST_UPDATES) {
-                break;
-            }
-            self.gossip.carried(incarnation);
-            updates.push(update);
-        }
-        Box::new(MembershipMessage {
-            kind,
-            seq,
-            address: self.own.peers,
-            unknown: !self.members.contains_key(&to),
-            version: self.version,
-            freshness: now.saturating_sub(self.confirmed),
-            updates,
-        })
-    }
-
-    /// What this VM has to say of another or of itself.
-    fn statement(&self, now: Uptime, incarnation: Incarnation) -> Option<Update> {
-        let own = self.own.incarnation == incarnation;
-        if own {
-            let leaving = self.own.state == VmState::Leaving;
-            let status = if leaving { Status::Left } else { Status::Alive };
-            let about = UpdateEntry { entry: self.own.clone(), up_ms: now.as_millis() as u64 };
-            let generation = self.generation;
-            return Some(Update { incarnation, generation, status, age_ms: 0, about: Some(about) });
-        }
-        let member = self.members.get(&incarnation)?;
-        let age = now.saturating_sub(member.since).as_millis();
-        let about = match (member.status, member.started) {
-            (Status::Alive, Some(started)) => {
-                let up = (now.as_secs_f64() - started).max(0.0);
-                Some(UpdateEntry { entry: member.entry.clone(), up_ms: (up * 1e3) as u64 })
-            }
-            // Only the list has named it: that is nothing to pass on.
-            (Status::Alive, None) => return None,
-            _ => None,
-        };
-        Some(Update {
-            incarnation,
-            generation: member.generation,
-            status: member.status,
-            age_ms: age.try_into().unwrap_or(u32::MAX),
-            about,
-        })
-    }
-
     /// Takes suspects that did not refute for dead, and forgets what is old.
     fn bury(&mut self, now: Uptime, actions: &mut Vec<MembershipAction>) {
         let wait = suspicion(self.members.len() + 1);
@@ -372,6 +327,6 @@
             }
             keep
         });
-        self.buried.retain(|_, (at, _)| now < *at + REMEMBER);
+        self.buried.retain(|_, b| now < b.at + REMEMBER);
     }
 }
--- /dev/null
+++ b/components/membership/tests/membership/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the failure detector, in virtual time.
+
+mod detection;
+mod fleet;
+mod fuzz;
+mod stateful;
