Add the fairness experiment

There was no measurement of the target that the worst-served organisation gets 0.95 of its max-min share. Eight organisations send to the home of a service, one at ten times its rate; the naive and the fair queue serve the same arrivals.

--- a/tools/measure/src/experiments/mod.rs
+++ b/tools/measure/src/experiments/mod.rs
@@ -1,5 +1,7 @@
 //! One file for each experiment.
 
+mod fairness;
+
 use crate::Options;
 use crate::figure::Figure;
 
@@ -12,4 +14,4 @@
 }
 
 /// Every experiment.
-pub const ALL: &[Experiment] = &[];
+pub const ALL: &[Experiment] = &[Experiment { name: "fairness", run: fairness::run }];
--- a/tools/measure/src/lib.rs
+++ b/tools/measure/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod experiments;
 pub mod figure;
+pub mod service_fake;
 
 /// Seeds of an experiment.
 pub struct Options {
