Predict the wait of an organisation from its own starts

Cause: the wait was computed from the number of organisations with waiting requests, which is often one, so that the flood was promised nearly all slots and its requests started too late. The mean time between starts while requests wait now gives the wait.

--- a/components/queue/src/fair.rs
+++ b/components/queue/src/fair.rs
@@ -137,6 +137,9 @@
     /// Time until a request behind `ahead` others of its organisation starts, in seconds.
     fn wait(&self, now: Uptime, key: OrganisationKey, ahead: usize, slots: u32) -> f64 {
         let organisation = &self.organisations[key];
+        if let Some(wait) = organisation.measured_wait(ahead) {
+            return wait;
+        }
         let own = if organisation.len() > 0 { 0.0 } else { organisation.share };
         let part = organisation.share / (self.shares + own);
         let mean = self.time_of(organisation).mean(now);
@@ -223,7 +226,7 @@
         let id = self.change(key, |o| {
             o.touched = now;
             o.charge(cost);
-            o.pop(cost)
+            o.pop(now, cost)
         })?;
         if let Some(waiting) = self.waiting.remove(&id) {
             self.due.remove(&(waiting.deadline, id));
--- a/components/queue/src/organisation.rs
+++ b/components/queue/src/organisation.rs
@@ -7,6 +7,9 @@
 /// Most route weights told apart inside an organisation; further ones join the last class.
 const MOST_CLASSES: usize = 16;
 
+/// Weight of a new interval between two starts.
+const INTERVAL_GAIN: f64 = 1.0 / 32.0;
+
 /// Position of a ticket in its class: earliest deadline first, then in order of arrival.
 pub(crate) type Order = (Uptime, u64);
 
@@ -37,6 +40,10 @@
     pub time: ServiceTime,
     /// Time of the last call that named it.
     pub touched: Uptime,
+    /// Start of its last request; none if nothing waits behind it.
+    popped: Option<Uptime>,
+    /// Mean time between two starts while requests wait, in seconds; none before the first two.
+    interval: Option<f64>,
     classes: Vec<Class>,
     /// Virtual time of the classes: that of the class served last.
     class_virt: f64,
@@ -56,6 +63,8 @@
             charged: 0.0,
             time: ServiceTime::default(),
             touched: Uptime::ZERO,
+            popped: None,
+            interval: None,
             classes: Vec::new(),
             class_virt: 0.0,
             returned: VecDeque::new(),
@@ -90,8 +99,23 @@
         self.len += 1;
     }
 
+    /// Time until `ahead` waiting requests have started, in seconds, as they did lately.
+    pub fn measured_wait(&self, ahead: usize) -> Option<f64> {
+        self.interval.map(|interval| interval * ahead as f64)
+    }
+
     /// Takes out the next request; `cost` is its estimated slot time in seconds.
-    pub fn pop(&mut self, cost: f64) -> Option<TicketId> {
+    pub fn pop(&mut self, now: Uptime, cost: f64) -> Option<TicketId> {
+        if let Some(popped) = self.popped {
+            let interval = now.saturating_sub(popped).as_secs_f64();
+            let mean = self.interval.unwrap_or(interval);
+            self.interval = Some(mean + INTERVAL_GAIN * (interval - mean));
+        }
+        self.popped = (self.len > 1).then_some(now);
+        self.take(cost)
+    }
+
+    fn take(&mut self, cost: f64) -> Option<TicketId> {
         if let Some(id) = self.returned.pop_front() {
             self.len -= 1;
             return Some(id);
