Skip late requests of callers that allow little time, too

Cause: where callers allow less than the 98th percentile of the service time, no request had enough time left and none was skipped, so that the flood's requests started late.

--- a/components/queue/src/fair.rs
+++ b/components/queue/src/fair.rs
@@ -145,7 +145,7 @@
             return;
         }
         let high = Duration::from_secs_f64(self.time_of(organisation).high(now));
-        while let Some(id) = self.organisations[key].first_late(now + high) {
+        while let Some(id) = self.organisations[key].first_late(now, high) {
             self.remove(id);
             self.lapsed.push(id);
         }
--- a/components/queue/src/organisation.rs
+++ b/components/queue/src/organisation.rs
@@ -1,4 +1,5 @@
 use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
 
 use kernel::{OrganisationId, TicketId, Uptime};
 
@@ -10,6 +11,10 @@
 /// Weight of a new interval between two starts.
 const INTERVAL_GAIN: f64 = 1.0 / 32.0;
 
+/// Part of the time left to the last request that the first one must have, where that is less than
+/// what nearly all answers need.
+const MOST_LEFT: f64 = 0.9;
+
 /// Position of a ticket in its class: earliest deadline first, then in order of arrival.
 pub(crate) type Order = (Uptime, u64);
 
@@ -118,9 +123,9 @@
         self.take(cost)
     }
 
-    /// The request that is taken out next if it starts too late for `latest` and another one of its
-    /// class does not; none if one was put back.
-    pub fn first_late(&self, latest: Uptime) -> Option<TicketId> {
+    /// The request that is taken out next, if it has less time left than `high` and than most of
+    /// what the last one of its class has; none if one was put back.
+    pub fn first_late(&self, now: Uptime, high: Duration) -> Option<TicketId> {
         if !self.returned.is_empty() {
             return None;
         }
@@ -128,7 +133,8 @@
         let class = backlogged.min_by(|a, b| a.virt.total_cmp(&b.virt))?;
         let ((first, _), id) = class.waiting.first_key_value()?;
         let ((last, _), _) = class.waiting.last_key_value()?;
-        (*first < latest && *last >= latest).then_some(*id)
+        let most = last.saturating_sub(now).mul_f64(MOST_LEFT);
+        (*first < now + high.min(most)).then_some(*id)
     }
 
     fn take(&mut self, cost: f64) -> Option<TicketId> {
