--- a/tools/measure/src/experiments/mod.rs
+++ b/tools/measure/src/experiments/mod.rs
@@ -1,6 +1,7 @@
 //! One file for each experiment.
 
 mod fairness;
+mod retries;
 
 use crate::Options;
 use crate::figure::Figure;
@@ -14,4 +15,7 @@
 }
 
 /// Every experiment.
-pub const ALL: &[Experiment] = &[Experiment { name: "fairness", run: fairness::run }];
+pub const ALL: &[Experiment] = &[
+    Experiment { name: "fairness", run: fairness::run },
+    Experiment { name: "retries", run: retries::run },
+];
