--- a/components/retry/src/hedge.rs
+++ b/components/retry/src/hedge.rs
@@ -3,8 +3,9 @@
 use hdrhistogram::Histogram;
 use kernel::Uptime;
 
-/// Part of the attempts that are faster than the hedge delay.
-const QUANTILE: f64 = 0.95;
+/// Part of the attempts that are faster than the hedge delay. 0.95 doubled the extra load of calm
+/// times and brought no more requests in time there.
+const QUANTILE: f64 = 0.98;
 /// Part of the attempts that are faster than a hedge is assumed to be.
 const FAST: f64 = 0.1;
 /// Samples after which the older half is dropped, so that the delay follows the service.
