--- a/components/queue/src/organisation.rs
+++ b/components/queue/src/organisation.rs
@@ -1,4 +1,5 @@
 use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
 
 use kernel::{OrganisationId, TicketId, Uptime};
 
@@ -7,6 +8,13 @@
 /// Most route weights told apart inside an organisation; further ones join the last class.
 const MOST_CLASSES: usize = 16;
 
+/// Weight of a new interval between two starts.
+const INTERVAL_GAIN: f64 = 1.0 / 32.0;
+
+/// Part of the time left to the last request that the first one must have, where that is less than
+/// what nearly all answers need.
+const MOST_LEFT: f64 = 0.9;
+
 /// Position of a ticket in its class: earliest deadline first, then in order of arrival.
 pub(crate) type Order = (Uptime, u64);
 
@@ -37,6 +45,12 @@
     pub time: ServiceTime,
     /// Time of the last call that named it.
     pub touched: Uptime,
+    /// Last time that one of its requests was refused for want of room or time.
+    pub refused: Option<Uptime>,
+    /// Start of its last request; none if nothing waits behind it.
+    popped: Option<Uptime>,
+    /// Mean time between two starts while requests wait, in seconds; none before the first two.
+    interval: Option<f64>,
     classes: Vec<Class>,
     /// Virtual time of the classes: that of the class served last.
     class_virt: f64,
@@ -56,6 +70,9 @@
             charged: 0.0,
             time: ServiceTime::default(),
             touched: Uptime::ZERO,
+            refused: None,
+            popped: None,
+            interval: None,
             classes: Vec::new(),
             class_virt: 0.0,
             returned: VecDeque::new(),
@@ -90,8 +107,37 @@
         self.len += 1;
     }
 
+    /// Time until `ahead` waiting requests have started, in seconds, as they did lately.
+    pub fn measured_wait(&self, ahead: usize) -> Option<f64> {
+        self.interval.map(|interval| interval * ahead as f64)
+    }
+
     /// Takes out the next request; `cost` is its estimated slot time in seconds.
-    pub fn pop(&mut self, cost: f64) -> Option<TicketId> {
+    pub fn pop(&mut self, now: Uptime, cost: f64) -> Option<TicketId> {
+        if let Some(popped) = self.popped {
+            let interval = now.saturating_sub(popped).as_secs_f64();
+            let mean = self.interval.unwrap_or(interval);
+            self.interval = Some(mean + INTERVAL_GAIN * (interval - mean));
+        }
+        self.popped = (self.len > 1).then_some(now);
+        self.take(cost)
+    }
+
+    /// The request that is taken out next, if it has less time left than `high` and than most of
+    /// what the last one of its class has; none if one was put back.
+    pub fn first_late(&self, now: Uptime, high: Duration) -> Option<TicketId> {
+        if !self.returned.is_empty() {
+            return None;
+        }
+        let backlogged = self.classes.iter().filter(|c| !c.waiting.is_empty());
+        let class = backlogged.min_by(|a, b| a.virt.total_cmp(&b.virt))?;
+        let ((first, _), id) = class.waiting.first_key_value()?;
+        let ((last, _), _) = class.waiting.last_key_value()?;
+        let most = last.saturating_sub(now).mul_f64(MOST_LEFT);
+        (*first < now + high.min(most)).then_some(*id)
+    }
+
+    fn take(&mut self, cost: f64) -> Option<TicketId> {
         if let Some(id) = self.returned.pop_front() {
             self.len -= 1;
             return Some(id);
--- a/tools/measure/src/experiments/mod.rs
+++ b/tools/measure/src/experiments/mod.rs
@@ -5,6 +5,8 @@
 mod latency;
 mod link;
 mod rates;
+mod fairness;
+mod retries;
 
 use crate::Options;
 use crate::figure::Figure;
@@ -25,4 +27,6 @@
     Experiment { name: "link", run: link::run },
     Experiment { name: "rates", run: rates::run },
     Experiment { name: "rates-hour", run: rates::run_hour },
+    Experiment { name: "fairness", run: fairness::run },
+    Experiment { name: "retries", run: retries::run },
 ];
