--- a/components/node/src/bus.rs
+++ b/components/node/src/bus.rs
@@ -20,7 +20,7 @@
         let shared = Arc::clone(self);
         tokio::spawn(async move {
             if let Err(error) = shared.peers.deliver(to, &messages).await {
-                log::debug!("messages lost: {error}");
+                telemetry::event!(MESSAGES_LOST, error = error.to_string());
             }
         });
     }
@@ -63,10 +63,13 @@
                 MembershipAction::Send { to, message } => {
                     self.send(to.address, vec![Message::Membership(*message)]);
                 }
-                MembershipAction::Suspected { .. } | MembershipAction::Recovered { .. } => {}
-                MembershipAction::Joined { .. }
-                | MembershipAction::Died { .. }
-                | MembershipAction::Left { .. } => changed = true,
+                other => {
+                    self.note_vm(&other);
+                    changed |= !matches!(
+                        other,
+                        MembershipAction::Suspected { .. } | MembershipAction::Recovered { .. }
+                    );
+                }
             }
         }
         if changed {
--- a/components/node/src/configuration.rs
+++ b/components/node/src/configuration.rs
@@ -41,7 +41,8 @@
             engine.refresh();
         }
         self.tell_membership();
-        log::info!("configuration version {} is in force", config.version);
+        self.meters.set_services(&config);
+        telemetry::event!(CONFIG_IN_FORCE, version = config.version);
     }
 
     /// Tells the failure detector what to say of the configuration.
@@ -87,7 +88,7 @@
             }
         }
         if let Err(error) = self.load_newest().await {
-            log::warn!("the newest configuration cannot be read: {error}");
+            telemetry::event!(CONFIG_UNREAD, error = error.to_string());
         }
     }
 
@@ -102,7 +103,7 @@
             self.flags.fall_behind(began);
             let loaded = self.store.load(&held).await?;
             for (name, error) in &loaded.skipped {
-                log::warn!("snapshot {name} was skipped: {error}");
+                telemetry::event!(SNAPSHOT_DAMAGED, object = name, error = error.to_string());
             }
             self.install(loaded.config, Vec::new());
         }
@@ -123,7 +124,7 @@
             let guard = self.install.lock().await;
             match self.load_newest().await {
                 Ok(()) => return,
-                Err(error) => log::warn!("no configuration yet: {error}"),
+                Err(error) => telemetry::event!(CONFIG_UNREAD, error = error.to_string()),
             }
             drop(guard);
             tokio::time::sleep(POLL).await;
@@ -140,7 +141,7 @@
             tokio::time::sleep(pause.mul_f64(spread)).await;
             let _guard = self.install.lock().await;
             if let Err(error) = self.load_newest().await {
-                log::debug!("the head of the configuration cannot be read: {error}");
+                telemetry::event!(HEAD_UNREAD, error = error.to_string());
             }
         }
     }
--- a/components/node/src/fleet.rs
+++ b/components/node/src/fleet.rs
@@ -52,7 +52,8 @@
         now.saturating_sub(self.flags.confirmed())
     }
 
-    fn check_freshness(&self) -> Result<(), Refusal> {
+    /// Refuses if this VM cannot tell whether its configuration is the newest.
+    pub fn check_freshness(&self) -> Result<(), Refusal> {
         let now = self.now();
         let fresh = self.settings.freshness.fresh;
         let age = self.staleness(now);
@@ -195,19 +196,38 @@
         self.0.random.next()
     }
 
-    fn record(&self, _record: &RequestRecord) {}
+    fn record(&self, record: &RequestRecord) {
+        self.0.meters.record(record);
+    }
+
+    fn used(&self, service: &str, organisation: &str, used: Duration) {
+        self.0.meters.shares.used(service, organisation, used);
+    }
 
     fn suspected(&self, service: &str, backend: &str, reason: EjectReason, after: Duration) {
-        log::info!("backend server {backend} of {service} is suspect: {reason:?} after {after:?}");
+        self.0.meters.metrics.count_suspicion(reason, after);
+        let event = &telemetry::events::BACKEND_SUSPECTED;
+        self.0.note_detection(event, service, backend, reason, after);
     }
 
     fn ejected(&self, service: &str, backend: &str, reason: EjectReason, after: Duration) {
         self.0.set_ejected(service, backend, Some(reason));
-        log::warn!("backend server {backend} of {service} is ejected: {reason:?} after {after:?}");
+        self.0.meters.metrics.count_ejection(reason, after);
+        let event = &telemetry::events::BACKEND_EJECTED;
+        self.0.note_detection(event, service, backend, reason, after);
     }
 
     fn restored(&self, service: &str, backend: &str, falsely: bool) {
         self.0.set_ejected(service, backend, None);
-        log::info!("backend server {backend} of {service} takes work again (false: {falsely})");
+        self.0.meters.metrics.count_restoration();
+        if falsely {
+            self.0.meters.metrics.count_false_ejection();
+        }
+        telemetry::event!(
+            BACKEND_RESTORED,
+            service = service,
+            backend = backend,
+            falsely = falsely
+        );
     }
 }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -1,5 +1,6 @@
 //! Starts every part of the daemon and stops it.
 
+mod admin;
 mod bus;
 mod clock;
 mod configuration;
@@ -7,11 +8,15 @@
 mod fleet;
 mod handler;
 mod loops;
+mod meters;
+mod note;
+mod observed;
 mod operators;
 mod random;
 mod recent;
 mod rights;
 mod shared;
+mod shares;
 mod spill;
 mod start;
 mod view;
--- a/components/node/src/loops.rs
+++ b/components/node/src/loops.rs
@@ -16,6 +16,12 @@
 const LIST_TICK: Duration = Duration::from_secs(5);
 /// Period of the reports of free slots between the homes of a service.
 const REPORT_TICK: Duration = Duration::from_millis(200);
+/// Period in which the age of the configuration is looked at.
+const METER_TICK: Duration = Duration::from_secs(1);
+/// Interval of the organisations' shares. Shorter ones have too few requests for a fair ratio.
+const SHARE_INTERVAL: Duration = Duration::from_secs(10);
+/// A tick that is this late tells of a pause of the process.
+const PAUSED: Duration = Duration::from_millis(500);
 /// Period in which idle connections to backend servers are looked for.
 const IDLE_TICK: Duration = Duration::from_secs(5);
 
@@ -30,9 +36,15 @@
     /// Runs the failure detector.
     pub async fn run_membership(self: &Arc<Self>) {
         let mut ticks = every(TICK);
+        let mut last = self.now();
         loop {
             ticks.tick().await;
             let now = self.now();
+            if now >= last + TICK + PAUSED {
+                let paused_ms = (now - last).as_millis() as u64;
+                telemetry::event!(CLOCK_JUMPED, paused_ms = paused_ms);
+            }
+            last = now;
             let actions = self.random.with(|rng| self.membership().tick(now, rng));
             self.act_membership(actions);
         }
@@ -53,7 +65,33 @@
                     let actions = self.membership().seed(now, &list);
                     self.act_membership(actions);
                 }
-                Err(error) => log::debug!("the list of VMs cannot be read: {error}"),
+                Err(error) => telemetry::event!(VM_LIST_UNREAD, error = error.to_string()),
+            }
+        }
+    }
+
+    /// Ends the intervals of the organisations' shares, and tells when the configuration cannot be
+    /// confirmed any more or is again.
+    pub async fn run_meters(self: &Arc<Self>) {
+        let mut ticks = every(METER_TICK);
+        let mut stale = false;
+        let mut ended = self.now();
+        loop {
+            ticks.tick().await;
+            let now = self.now();
+            if stale != self.check_freshness().is_err() {
+                stale = !stale;
+                if stale {
+                    let age_ms = self.staleness(now).as_millis() as u64;
+                    telemetry::event!(CONFIG_STALE, age_ms = age_ms);
+                } else {
+                    telemetry::event!(CONFIG_CONFIRMED);
+                }
+            }
+            if now >= ended + SHARE_INTERVAL {
+                ended = now;
+                let shares = self.meters.shares.end_interval(&self.lookup.load().config);
+                self.meters.metrics.set_shares(&shares);
             }
         }
     }
@@ -119,7 +157,7 @@
         let mut entry = self.me.clone();
         entry.state = VmState::Leaving;
         if let Err(error) = self.platform.vms.announce(&entry).await {
-            log::debug!("the platform's list was not told that this VM leaves: {error}");
+            telemetry::event!(VM_LIST_UNREAD, error = error.to_string());
         }
     }
 }
--- a/components/node/src/operators.rs
+++ b/components/node/src/operators.rs
@@ -32,6 +32,7 @@
 
     async fn apply(self: &Arc<Self>, set: ChangeSet) -> Result<Applied, OperatorError> {
         if !self.hears_majority() {
+            telemetry::event!(CHANGE_WITHOUT_MAJORITY);
             return Err(OperatorError::Unavailable(
                 "this VM hears no majority of the fleet, so that the change could not be in force \
                  everywhere; use another VM or repair the network"
@@ -51,6 +52,7 @@
                     let _guard = self.install.lock().await;
                     self.install(config, vec![delta]);
                 }
+                telemetry::event!(CHANGE_ACCEPTED, version = version);
                 self.announce_version();
                 Ok(Applied { version, repeated: false })
             }
@@ -61,7 +63,11 @@
         let store = self.store.clone();
         tokio::spawn(async move {
             if let Err(error) = store.write_snapshot(&config).await {
-                log::warn!("no snapshot of version {} was written: {error}", config.version);
+                telemetry::event!(
+                    SNAPSHOT_UNWRITTEN,
+                    version = config.version,
+                    error = error.to_string()
+                );
             }
         });
     }
--- a/components/node/src/random.rs
+++ b/components/node/src/random.rs
@@ -13,7 +13,7 @@
 }
 
 /// A number that differs between processes, from the standard library alone.
-fn entropy() -> u64 {
+pub fn entropy() -> u64 {
     let mut hasher = RandomState::new().build_hasher();
     let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     hasher.write_u128(time.as_nanos());
--- a/components/node/src/rights.rs
+++ b/components/node/src/rights.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 
+use ::rights::RightsError;
 use kernel::prelude::*;
 use tokio::sync::mpsc;
 
@@ -9,6 +10,8 @@
 pub const RATE: &str = "rate";
 /// Kind of the rights to eject backend servers of a service.
 pub const EJECT: &str = "eject";
+/// Part of the lease without a renewal after which operators are told.
+const AT_RISK: f64 = 0.75;
 
 /// Asks for another number of units of an organisation's rate.
 #[derive(Debug)]
@@ -20,13 +23,13 @@
 }
 
 impl Shared {
-    /// Renews the session and gives the limiter what is held.
-    async fn renew_session(self: &Arc<Self>) {
+    /// Renews the session and gives the limiter what is held. Returns whether that succeeded.
+    async fn renew_session(self: &Arc<Self>) -> bool {
         let mut holder = self.holder.lock().await;
         match holder.renew().await {
             Ok(renewal) => {
                 if renewal.lapsed {
-                    log::warn!("the session had lapsed; rights are claimed again");
+                    telemetry::event!(RIGHTS_LOST);
                 }
                 let now = self.now();
                 let mut limiter = self.limiter();
@@ -35,20 +38,31 @@
                         limiter.set_units(now, &id, held.units, held.total, held.until, false);
                     }
                 }
+                true
+            }
+            Err(error) => {
+                telemetry::event!(SESSION_UNRENEWED, error = error.to_string());
+                false
             }
-            Err(error) => log::warn!("the session was not renewed: {error}"),
         }
     }
 
     /// Keeps the session and the budgets of ejections.
     pub async fn keep_rights(self: &Arc<Self>) {
         let mut renewed = None;
+        let mut held_since = self.now();
+        let risk = self.settings.session.lease.mul_f64(AT_RISK);
         loop {
             let now = self.now();
             let due = renewed.is_none_or(|at| now >= at + self.settings.session.renew);
             if due {
                 renewed = Some(now);
-                self.renew_session().await;
+                if self.renew_session().await {
+                    held_since = now;
+                } else if now >= held_since + risk {
+                    let age_s = (now - held_since).as_secs();
+                    telemetry::event!(SESSION_AT_RISK, age_s = age_s);
+                }
             }
             self.keep_ejections().await;
             tokio::time::sleep(Duration::from_secs(1)).await;
@@ -87,15 +101,18 @@
             if want < held {
                 home.set_budget((want as usize).saturating_sub(draining));
                 if let Err(error) = holder.release(EJECT, &id, want).await {
-                    log::debug!("rights to eject of {id} are still to be released: {error}");
+                    note_unchanged(EJECT, &id, &error);
                 }
                 continue;
             }
             let mut units = held;
             if want > held {
                 match holder.claim(EJECT, &id, want, total, want).await {
-                    Ok(claimed) => units = claimed.units,
-                    Err(error) => log::debug!("no rights to eject of {id}: {error}"),
+                    Ok(claimed) => {
+                        units = claimed.units;
+                        telemetry::event!(RIGHTS_CLAIMED, kind = EJECT, id = id, units = units);
+                    }
+                    Err(error) => note_unchanged(EJECT, &id, &error),
                 }
             }
             home.set_budget((units as usize).saturating_sub(draining));
@@ -132,7 +149,7 @@
                     held.fresh,
                 );
             }
-            Err(error) => log::debug!("no units of the rate of {organisation}: {error}"),
+            Err(error) => note_unchanged(RATE, &organisation, &error),
         }
     }
 
@@ -140,7 +157,7 @@
         let mut holder = self.holder.lock().await;
         if let Err(error) = holder.release(RATE, &organisation, units).await {
             // The holder keeps the units unused and repeats the write with the next renewal.
-            log::debug!("units of the rate of {organisation} are still to be released: {error}");
+            note_unchanged(RATE, &organisation, &error);
         }
         let kept = holder.held().into_iter().find(|(k, id, _)| &**k == RATE && *id == organisation);
         let now = self.now();
@@ -150,6 +167,10 @@
     }
 }
 
+fn note_unchanged(kind: &str, id: &str, error: &RightsError) {
+    telemetry::event!(RIGHTS_UNCHANGED, kind = kind, id = id, error = error.to_string());
+}
+
 fn to_units(count: usize) -> u32 {
     u32::try_from(count).unwrap_or(u32::MAX)
 }
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -10,10 +10,13 @@
 use proxy::Engine;
 use rights::Holder;
 use settings::Settings;
+use telemetry::Metrics;
 use tokio::sync::mpsc;
 
 use crate::clock::Clock;
 use crate::flags::Flags;
+use crate::meters::Meters;
+use crate::observed::observe;
 use crate::random::{Random, new_incarnation};
 use crate::recent::RecentDeltas;
 use crate::rights::ClaimRequest;
@@ -32,6 +35,8 @@
     pub me: VmEntry,
     /// Small facts.
     pub flags: Flags,
+    /// Meters of what the request path does.
+    pub meters: Meters,
     /// Configuration in force. Its version never goes down.
     pub lookup: ArcSwap<Lookup>,
     /// Deltas for VMs that are behind.
@@ -68,6 +73,8 @@
     ) -> Result<Arc<Self>, kernel::RegistryError> {
         let clock = Clock::start();
         let random = Arc::new(Random::new(settings.seed));
+        let metrics = Arc::new(Metrics::new());
+        let platform = observe(platform, Arc::clone(&metrics));
         let me = VmEntry {
             vm: settings.vm.clone(),
             incarnation: new_incarnation(),
@@ -94,6 +101,7 @@
             ejected: Mutex::default(),
             spill: Mutex::default(),
             flags: Flags::default(),
+            meters: Meters::new(metrics),
             recent: RecentDeltas::default(),
             engine: OnceLock::new(),
             settings,
@@ -169,6 +177,12 @@
 
     /// Notes whether the platform's table answered.
     pub fn note_store(&self, answered: bool) {
-        self.flags.set_store_away(!answered);
+        if self.flags.set_store_away(!answered) {
+            if answered {
+                telemetry::event!(STORE_BACK);
+            } else {
+                telemetry::event!(STORE_AWAY);
+            }
+        }
     }
 }
--- /dev/null
+++ b/components/node/src/shares.rs
@@ -0,0 +1,82 @@
+use std::collections::HashMap;
+use std::sync::{Mutex, PoisonError};
+
+use config::FleetConfig;
+use kernel::prelude::*;
+use telemetry::{Demand, OrganisationShare, max_min};
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Usage {
+    /// Slot time used.
+    served: Duration,
+    /// Attempts that used it.
+    attempts: u32,
+    /// Requests that got no slot.
+    refused: u32,
+}
+
+/// Slot time that the organisations used of each service at its home, in one interval.
+#[derive(Debug, Default)]
+pub struct Shares {
+    services: Mutex<HashMap<ServiceId, HashMap<OrganisationId, Usage>>>,
+}
+
+impl Shares {
+    fn note(&self, service: &str, organisation: &str, note: impl FnOnce(&mut Usage)) {
+        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        if !services.contains_key(service) {
+            services.insert(service.into(), HashMap::new());
+        }
+        let Some(usages) = services.get_mut(service) else { return };
+        match usages.get_mut(organisation) {
+            Some(usage) => note(usage),
+            None => note(usages.entry(organisation.into()).or_default()),
+        }
+    }
+
+    /// Notes that a request used a slot.
+    pub fn used(&self, service: &str, organisation: &str, used: Duration) {
+        self.note(service, organisation, |usage| {
+            usage.served += used;
+            usage.attempts += 1;
+        });
+    }
+
+    /// Notes that a request got no slot.
+    pub fn refused(&self, service: &str, organisation: &str) {
+        self.note(service, organisation, |usage| usage.refused += 1);
+    }
+
+    /// Ends the interval. Returns what each organisation used and was due, over all services.
+    ///
+    /// The capacity of a service is the slot time that was used. An organisation wanted what it
+    /// used, and the mean slot time for each request that got no slot.
+    pub fn end_interval(&self, config: &FleetConfig) -> Vec<OrganisationShare> {
+        let services =
+            std::mem::take(&mut *self.services.lock().unwrap_or_else(PoisonError::into_inner));
+        let mut shares: HashMap<OrganisationId, OrganisationShare> = HashMap::new();
+        for usages in services.into_values() {
+            let capacity: f64 = usages.values().map(|u| u.served.as_secs_f64()).sum();
+            let attempts: u32 = usages.values().map(|u| u.attempts).sum();
+            let mean = capacity / f64::from(attempts.max(1));
+            let usages: Vec<_> = usages.into_iter().collect();
+            let demand = |(organisation, usage): &(OrganisationId, Usage)| Demand {
+                weight: config.organisations.get(organisation).map_or(1.0, |o| o.weight),
+                wanted: usage.served.as_secs_f64() + mean * f64::from(usage.refused),
+            };
+            let due = max_min(capacity, &usages.iter().map(demand).collect::<Vec<_>>());
+            // Requests on open routes run for no organisation; they count in the capacity only.
+            let named = usages.into_iter().zip(due).filter(|((id, _), _)| !id.is_empty());
+            for ((organisation, usage), due) in named {
+                let share = shares.entry(organisation.clone()).or_insert(OrganisationShare {
+                    organisation,
+                    served: 0.0,
+                    due: 0.0,
+                });
+                share.served += usage.served.as_secs_f64();
+                share.due += due;
+            }
+        }
+        shares.into_values().collect()
+    }
+}
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -10,9 +10,11 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
+use crate::admin;
 use crate::fleet::FleetView;
 use crate::handler::PeerHandler;
 use crate::operators::OperatorBackend;
+use crate::random::entropy;
 use crate::shared::Shared;
 
 // The crates of the plug-ins are linked because they are named here.
@@ -25,6 +27,10 @@
 async fn listen(address: SocketAddr, what: &str) -> anyhow::Result<TcpListener> {
     TcpListener::bind(address)
         .await
+        .inspect_err(|error| {
+            let address = address.to_string();
+            telemetry::event!(LISTEN_FAILED, address = address, error = error.to_string());
+        })
         .with_context(|| format!("cannot listen for {what} on {address}; choose a free address"))
 }
 
@@ -60,7 +66,22 @@
         .enable_all()
         .build()
         .context("cannot start the worker threads; check the setting threads")?
-        .block_on(run(settings))
+        .block_on(run_observed(settings))
+}
+
+/// Runs the daemon with logs and traces, which belong to the process as a whole.
+async fn run_observed(settings: Settings) -> anyhow::Result<()> {
+    telemetry::init_logs(&settings.log)?;
+    let seed = settings.seed.unwrap_or_else(entropy);
+    let tracing = telemetry::start_traces(&settings.traces, &settings.vm, seed)?;
+    let result = run(settings).await;
+    if let Some(tracing) = tracing
+        && let Err(error) = tracing.stop().await
+    {
+        telemetry::event!(TRACES_LOST, error = error.to_string());
+    }
+    telemetry::log::logger().flush();
+    result
 }
 
 /// Runs the daemon until SIGTERM or SIGINT, then stops it gracefully.
@@ -68,9 +89,11 @@
     let callers = listen(settings.listen.callers, "callers").await?;
     let peers = listen(settings.listen.peers, "other VMs").await?;
     let operators = listen(settings.listen.operators, "operators").await?;
+    let admin = listen(settings.listen.admin, "metrics and health").await?;
     let shared = build(settings)?;
     let stop = CancellationToken::new();
     serve_peers(&shared, peers, &stop);
+    tokio::spawn(admin::serve(admin, Arc::clone(&shared), stop.clone()));
     spawn_loops(&shared);
     shared.first_configuration().await;
     let engine = engine(&shared);
@@ -85,17 +108,21 @@
         connections: limits.connections,
     };
     let serve = tokio::spawn(proxy::serve(callers, engine, options, stop.clone()));
-    log::info!("VM {} serves callers on {}", shared.me.vm, shared.me.callers);
+    let meters = Arc::clone(&shared);
+    tokio::spawn(async move { meters.run_meters().await });
+    let (vm, callers) = (&shared.me.vm, shared.me.callers.to_string());
+    telemetry::event!(STARTED, vm = vm, callers = callers);
     wait_for_signal().await?;
-    log::info!("VM {} stops", shared.me.vm);
+    telemetry::event!(STOPPING, vm = shared.me.vm);
     shared.leave().await;
     // Callers may use this VM for as long as they may keep the entry responses that name it.
     tokio::time::sleep(shared.settings.drain).await;
     stop.cancel();
     serve.await.context("the server for callers failed")?;
     if let Err(error) = shared.holder.lock().await.release_all().await {
-        log::warn!("rights were not released and are lost until the session lapses: {error}");
+        telemetry::event!(RIGHTS_KEPT, error = error.to_string());
     }
+    telemetry::event!(STOPPED, vm = shared.me.vm);
     Ok(())
 }
 
@@ -119,7 +146,7 @@
     tokio::spawn(async move {
         let stopped = async move { stop.cancelled().await };
         if let Err(error) = operator::serve(listener, backend, tokens, stopped).await {
-            log::error!("operators are not served any more: {error}");
+            telemetry::event!(OPERATORS_UNSERVED, error = error.to_string());
         }
     });
     Ok(())
--- a/components/peers/src/server.rs
+++ b/components/peers/src/server.rs
@@ -11,8 +11,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use crate::handshake::{self, Random};
-use crate::message::{Message, Parcel};
+use crate::handshake::{self, HandshakeError, Random};
+use crate::message::{Message, MessageError, Parcel};
 use crate::service::{DeltasReply, Peer, VmReport};
 
 /// Pause after a failed accept, so that a VM out of descriptors does not spin.
@@ -42,7 +42,7 @@
             match Message::try_from(raw) {
                 Ok(message) => self.handler.receive(from, message),
                 // A newer release may send what this one does not know.
-                Err(error) => log::debug!("message of {from:016x} skipped: {error}"),
+                Err(error) => note_skipped(from, &error),
             }
         }
     }
@@ -56,6 +56,12 @@
     }
 }
 
+/// The body of a message stays out of the log.
+fn note_skipped(from: Incarnation, error: &MessageError) {
+    let (MessageError::Topic(topic) | MessageError::Body { topic, .. }) = error;
+    telemetry::event!(MESSAGE_SKIPPED, from = format!("{from:016x}"), topic = topic);
+}
+
 async fn serve_one(
     mut stream: TcpStream,
     secret: Arc<[u8]>,
@@ -64,7 +70,11 @@
 ) {
     let _ = stream.set_nodelay(true);
     if let Err(error) = handshake::as_server(&mut stream, &secret, &random).await {
-        log::debug!("connection of a peer refused: {error}");
+        // Connections that break off are those of VMs that stop, or of port scanners.
+        if matches!(error, HandshakeError::Proof) {
+            let address = stream.peer_addr().map_or_else(|_| "".into(), |a| a.to_string());
+            telemetry::event!(PEER_REJECTED, address = address);
+        }
         return;
     }
     let framed = LengthDelimitedCodec::builder().new_framed(stream);
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -8,6 +8,8 @@
 use kernel::AttemptOutcome;
 use kernel::prelude::*;
 use retry::Verdict;
+use telemetry::inject_context;
+use tracing::Span;
 
 use crate::body::Body;
 use crate::call::{Call, pass_on};
@@ -72,12 +74,17 @@
     }
 }
 
+/// Time that the attempt took which gave a response; an extension of the response.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptTime(pub Duration);
+
 /// Sends the request to the slot's backend server and waits for the head of its response.
 pub async fn run(
     mut slot: Slot,
     call: &Call,
     fleet: &Arc<dyn Fleet>,
 ) -> Result<Response<Body>, Failure> {
+    slot.start_span(&call.span);
     let max_age = if call.idempotent { IDLE_IDEMPOTENT } else { IDLE_ONCE };
     let mut connection = match slot.pool.checkout(max_age).await {
         Ok(connection) => connection,
@@ -97,7 +104,7 @@
     let silent = slot.silent.clone();
     tokio::select! {
         biased;
-        result = connection.send(build(call, left)) => match result {
+        result = connection.send(build(call, left, &slot.span)) => match result {
             Ok(response) => receive(slot, connection, call, response),
             Err(error) if error.is_unsent() => {
                 // The pool gave out a connection that had just closed; this says nothing of the
@@ -124,13 +131,14 @@
     }
 }
 
-fn build(call: &Call, left: Duration) -> Request<Full<Bytes>> {
+fn build(call: &Call, left: Duration, span: &Span) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
     // The target was parsed as part of the caller's request.
     *request.uri_mut() = call.target.parse().unwrap_or_default();
     *request.headers_mut() = call.headers.clone();
     let headers = request.headers_mut();
+    inject_context(span, headers);
     headers.insert(header::HOST, HeaderValue::from_static("backend"));
     headers.insert(BACKEND_DEADLINE_HEADER, HeaderValue::from(left.as_millis() as u64));
     for (name, text) in [(ORGANISATION_HEADER, &call.organisation), (REQUEST_ID_HEADER, &call.id)] {
@@ -147,7 +155,7 @@
     call: &Call,
     response: Response<Incoming>,
 ) -> Result<Response<Body>, Failure> {
-    slot.mark_answered();
+    let took = slot.mark_answered();
     let (mut head, body) = response.into_parts();
     if head.status == StatusCode::SERVICE_UNAVAILABLE && head.headers.contains_key(NOT_RUN_HEADER) {
         let draining = head.headers[NOT_RUN_HEADER] == "draining";
@@ -166,6 +174,7 @@
     if let Some(length) = length {
         head.headers.insert(header::CONTENT_LENGTH, length);
     }
+    head.extensions.insert(AttemptTime(took));
     let watch = SlotWatch { slot, connection, failed };
     Ok(Response::from_parts(head, Watched::new(body, watch).boxed_unsync()))
 }
--- a/components/proxy/src/call.rs
+++ b/components/proxy/src/call.rs
@@ -3,6 +3,8 @@
 use http::{HeaderMap, Method, request};
 use kernel::prelude::*;
 use retry::{Fingerprint, RequestDigest};
+use telemetry::entry_span;
+use tracing::Span;
 
 use crate::headers::{DEADLINE_HEADER, FLEET_HEADERS, HOP_HEADERS, IDEMPOTENCY_HEADER, KEY_HEADER};
 
@@ -46,6 +48,8 @@
     pub headers: HeaderMap,
     /// Whole body.
     pub body: Bytes,
+    /// Span of the request on this VM; it ends with the last span below it.
+    pub span: Span,
 }
 
 impl Call {
@@ -64,6 +68,8 @@
             )
         })?;
         let route = found.route;
+        let span = entry_span(&head.headers, &route.service);
+        span.record("route", found.id);
         let key = head.headers.get(KEY_HEADER).map(|v| v.as_bytes());
         let organisation = match lookup.access(route, key) {
             Access::Open => OrganisationId::default(),
@@ -78,6 +84,7 @@
                 format!("requests on this route may run once; send {IDEMPOTENCY_HEADER}"),
             ));
         }
+        span.record("organisation", &*organisation);
         let share = lookup.config.organisations.get(&organisation).map_or(1.0, |o| o.weight);
         Ok(Call {
             id,
@@ -97,6 +104,7 @@
             target: head.uri.path_and_query().map_or("/", |t| t.as_str()).into(),
             headers: pass_on(&head.headers),
             body: Bytes::new(),
+            span,
         })
     }
 
--- a/components/proxy/src/engine.rs
+++ b/components/proxy/src/engine.rs
@@ -13,10 +13,11 @@
 use crate::call::Call;
 use crate::entry;
 use crate::executor::{Executor, Routed};
-use crate::fleet::{Fleet, RequestRecord};
+use crate::fleet::Fleet;
 use crate::forward::{Forwarder, MAX_HOPS};
 use crate::headers::{ENTRY_PATH, REQUEST_ID_HEADER};
 use crate::home::Home;
+use crate::record::RequestRecord;
 use crate::run::RunError;
 
 /// Settings of the request path.
@@ -120,16 +121,9 @@
         B::Error: std::fmt::Display,
     {
         let id: Box<str> = format!("{:016x}", self.fleet.random()).into();
-        let mut record = RequestRecord {
-            service: ServiceId::default(),
-            organisation: OrganisationId::default(),
-            refusal: None,
-            forwarded: Forwarder::is_forwarded(request.headers()),
-            took: Duration::ZERO,
-        };
+        let mut record = RequestRecord::new(Forwarder::is_forwarded(request.headers()));
         let start = self.fleet.now();
         let result = self.answer(request, &id, &mut record).await;
-        record.took = self.fleet.now().saturating_sub(start);
         let mut response = match result {
             Ok(response) => response,
             Err(refusal) => {
@@ -140,6 +134,7 @@
         if let Ok(value) = HeaderValue::from_str(&id) {
             response.headers_mut().entry(REQUEST_ID_HEADER).or_insert(value);
         }
+        record.finish(&response, self.fleet.now().saturating_sub(start));
         self.fleet.record(&record);
         response
     }
@@ -164,14 +159,12 @@
             let body = collect(body, limit, self.options.body_timeout).await?;
             let now = self.fleet.now();
             let call = self.forwarder.accept(&head, body, &self.fleet.lookup(), now)?;
-            record.service = call.service.clone();
-            record.organisation = call.organisation.clone();
+            record.identify(&call);
             return self.route(call).await;
         }
         let now = self.fleet.now();
         let mut call = Call::check(&head, &self.fleet.lookup(), now, id.into())?;
-        record.service = call.service.clone();
-        record.organisation = call.organisation.clone();
+        record.identify(&call);
         if call.key.is_some() {
             self.fleet.check_fresh()?;
         }
--- a/components/proxy/src/executor.rs
+++ b/components/proxy/src/executor.rs
@@ -152,11 +152,14 @@
             RefusalKind::IdempotencyConflict,
             "the idempotency key was used with another request; use a new key for a new request",
         ),
-        Begin::Full => Refusal::not_run(
-            RefusalKind::Overloaded,
-            "no room for a further idempotency key; retry in a minute",
-        )
-        .retry_after(Duration::from_secs(60)),
+        Begin::Full => {
+            telemetry::event!(KEY_TABLE_FULL);
+            Refusal::not_run(
+                RefusalKind::Overloaded,
+                "no room for a further idempotency key; retry in a minute",
+            )
+            .retry_after(Duration::from_secs(60))
+        }
         Begin::Expired => Refusal::unknown(
             RefusalKind::AnswerLost,
             "the idempotency key is too old; if the request was never sent, send it with a prefix \
--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -7,21 +7,7 @@
 use retry::{Claimed, CrashMessage};
 
 use crate::home::HomeOptions;
-
-/// What is recorded of a finished request. It names no key.
-#[derive(Clone, Debug, PartialEq)]
-pub struct RequestRecord {
-    /// Service, if a route matched.
-    pub service: ServiceId,
-    /// Organisation; empty on open routes.
-    pub organisation: OrganisationId,
-    /// Refusal kind; none if a backend server answered.
-    pub refusal: Option<RefusalKind>,
-    /// Whether another VM forwarded it.
-    pub forwarded: bool,
-    /// Time from the head of the request to the head of the response.
-    pub took: Duration,
-}
+use crate::record::RequestRecord;
 
 /// What the request path needs to know of the rest of the VM.
 pub trait Fleet: Send + Sync {
@@ -82,6 +68,9 @@
     /// Records a finished request.
     fn record(&self, record: &RequestRecord);
 
+    /// Records that a request of the organisation used a slot of the service.
+    fn used(&self, _service: &str, _organisation: &str, _used: Duration) {}
+
     /// Records that a backend server was suspected.
     fn suspected(&self, service: &str, backend: &str, reason: EjectReason, after: Duration);
 
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -10,6 +10,8 @@
 use kernel::prelude::*;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
+use telemetry::{entry_span, forward_span, inject_context};
+use tracing::Span;
 
 use crate::attempt::{Failure, Sent};
 use crate::body::{Body, BodyError};
@@ -87,6 +89,8 @@
         })?;
         let idempotency = head.headers.get(crate::headers::IDEMPOTENCY_HEADER);
         let organisation = lookup.config.organisations.get(&sent.organisation);
+        let span = entry_span(&head.headers, &route.service);
+        span.record("route", &*sent.route).record("organisation", &*sent.organisation);
         let call = Call {
             id: sent.id,
             share: organisation.map_or(1.0, |o| o.weight),
@@ -105,12 +109,13 @@
             target: target.into(),
             headers: pass_on(&head.headers),
             body,
+            span,
         };
         call.recheck(lookup)?;
         Ok(call)
     }
 
-    fn build(&self, call: &Call, left: Duration) -> Option<Request<Full<Bytes>>> {
+    fn build(&self, call: &Call, left: Duration, span: &Span) -> Option<Request<Full<Bytes>>> {
         let head = serde_json::to_string(&ForwardHead {
             id: call.id.clone(),
             organisation: call.organisation.clone(),
@@ -131,6 +136,7 @@
         *request.uri_mut() = format!("http://fleet{}", call.target).parse().ok()?;
         *request.headers_mut() = call.headers.clone();
         let headers = request.headers_mut();
+        inject_context(span, headers);
         headers.insert(FORWARD_HEADER, HeaderValue::from_str(&head).ok()?);
         headers.insert(PROOF_HEADER, HeaderValue::from_str(&proof).ok()?);
         Some(request)
@@ -163,7 +169,8 @@
             };
             Err(Failure { sent, refusal })
         };
-        let Some(request) = self.build(call, left) else {
+        let span = forward_span(&call.span, &to.vm, call.hops + 1);
+        let Some(request) = self.build(call, left, &span) else {
             return fail(Sent::No, "the request cannot be forwarded; check its headers".to_owned());
         };
         let response = match tokio::time::timeout(left, self.link(to).send(request)).await {
@@ -184,7 +191,10 @@
             head.headers.insert(name, value);
         }
         head.version = http::Version::HTTP_11;
-        let body = body.map_err(|error| BodyError::Cut(error.into()));
+        let body = body.map_err(move |error| {
+            // The span lasts as long as the body.
+            span.in_scope(|| BodyError::Cut(error.into()))
+        });
         Ok(Response::from_parts(head, body.boxed_unsync()))
     }
 }
--- a/components/proxy/src/home.rs
+++ b/components/proxy/src/home.rs
@@ -214,6 +214,7 @@
     ) -> Result<Slot, Refusal> {
         let now = self.now();
         call.left(now)?;
+        let _queue = telemetry::queue_span(&call.span, &call.organisation);
         let (reply, mut slot) = oneshot::channel();
         let key = {
             let state = &mut *self.lock();
@@ -255,6 +256,7 @@
         used: Duration,
     ) {
         let now = self.now();
+        self.fleet.used(&self.service, organisation, used);
         {
             let state = &mut *self.lock();
             state.attempts.remove(&attempt);
@@ -321,7 +323,8 @@
             DetectorAction::Restored { backend, falsely } => {
                 self.fleet.restored(service, &backend, falsely);
             }
-            DetectorAction::DropConnection { attempt, .. } => {
+            DetectorAction::DropConnection { attempt, backend } => {
+                telemetry::event!(CONNECTION_SILENT, service = service, backend = backend);
                 if let Some(silent) = self.lock().attempts.get(&attempt) {
                     silent.cancel();
                 }
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -15,6 +15,7 @@
 mod link;
 mod pool;
 mod prefixed;
+mod record;
 mod run;
 mod server;
 mod slot;
@@ -22,10 +23,11 @@
 pub use body::{Body, BodyError, full};
 pub use call::Call;
 pub use engine::{Engine, EngineOptions};
-pub use fleet::{Fleet, RequestRecord};
+pub use fleet::Fleet;
 pub use headers::{
     DEADLINE_HEADER, ENTRY_PATH, FORWARD_HEADER, IDEMPOTENCY_HEADER, KEY_HEADER, OUTCOME_HEADER,
     PROOF_HEADER, REQUEST_ID_HEADER,
 };
 pub use home::{Home, HomeOptions};
+pub use record::RequestRecord;
 pub use server::{ServerOptions, serve};
--- /dev/null
+++ b/components/proxy/src/record.rs
@@ -0,0 +1,66 @@
+use http::Response;
+use kernel::prelude::*;
+use telemetry::RequestOutcome;
+use tracing::Span;
+
+use crate::answer::outcome;
+use crate::attempt::AttemptTime;
+use crate::body::Body;
+use crate::call::Call;
+
+/// What is recorded of a finished request. It names no key.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RequestRecord {
+    /// Service, if a route matched.
+    pub service: ServiceId,
+    /// Organisation; empty on open routes.
+    pub organisation: OrganisationId,
+    /// Refusal kind; none if a backend server answered.
+    pub refusal: Option<RefusalKind>,
+    /// Whether another VM forwarded it.
+    pub forwarded: bool,
+    /// Time from the head of the request to the head of the response.
+    pub took: Duration,
+    /// How the request ended for its caller.
+    pub outcome: RequestOutcome,
+    /// Time of the attempt that answered; none if it ran on another VM or is not known.
+    pub attempt: Option<Duration>,
+    /// Span of the request; none if it had no route.
+    pub span: Span,
+}
+
+impl RequestRecord {
+    /// The record of a request of which nothing is known yet.
+    pub fn new(forwarded: bool) -> Self {
+        RequestRecord {
+            service: ServiceId::default(),
+            organisation: OrganisationId::default(),
+            refusal: None,
+            forwarded,
+            took: Duration::ZERO,
+            outcome: RequestOutcome::Unknown,
+            attempt: None,
+            span: Span::none(),
+        }
+    }
+
+    /// Takes over what the request is.
+    pub fn identify(&mut self, call: &Call) {
+        self.service = call.service.clone();
+        self.organisation = call.organisation.clone();
+        self.span = call.span.clone();
+    }
+
+    /// Takes over how the request ended.
+    pub fn finish(&mut self, response: &Response<Body>, took: Duration) {
+        self.took = took;
+        self.outcome = match outcome(response.headers()) {
+            Some(Outcome::NotRun) => RequestOutcome::NotRun,
+            Some(Outcome::Unknown) => RequestOutcome::Unknown,
+            None if response.status().is_server_error() => RequestOutcome::BackendError,
+            None => RequestOutcome::Answered,
+        };
+        self.attempt = response.extensions().get().map(|AttemptTime(time)| *time);
+        self.span.record("outcome", self.outcome.as_str());
+    }
+}
--- a/components/proxy/src/run.rs
+++ b/components/proxy/src/run.rs
@@ -50,6 +50,7 @@
                 Verdict::Run => return Ok(()),
                 Verdict::GoTo(home) => return Err(RunError::GoTo(home)),
                 Verdict::Refuse(crash) => {
+                    telemetry::event!(CRASH_REFUSED, request = call.id, route = call.route);
                     let message = format!(
                         "the request has crashed {} backend servers; do not send it again",
                         crash.deaths
--- a/components/proxy/src/slot.rs
+++ b/components/proxy/src/slot.rs
@@ -4,6 +4,7 @@
 use kernel::{AttemptId, AttemptOutcome, BackendEvent};
 use retry::{AttemptEnd, Fingerprint, Verdict};
 use tokio_util::sync::CancellationToken;
+use tracing::Span;
 
 use crate::home::Home;
 use crate::pool::Pool;
@@ -17,11 +18,15 @@
     pub pool: Arc<Pool>,
     /// Cancelled when the detector finds that the connection of the attempt is silent.
     pub silent: CancellationToken,
+    /// Span of the attempt; none until the request goes out.
+    pub span: Span,
     attempt: AttemptId,
     organisation: OrganisationId,
     start: Uptime,
     /// Whether `Sent` was observed, so that the end must be observed too.
     sent: bool,
+    /// When the request went out; the reservation of the slot before that.
+    sent_at: Uptime,
     /// Whether the end was observed.
     ended: bool,
 }
@@ -42,14 +47,21 @@
             backend,
             pool,
             silent,
+            span: Span::none(),
             attempt,
             organisation,
             start,
             sent: false,
+            sent_at: start,
             ended: false,
         }
     }
 
+    /// Starts the span of the attempt below that of the request.
+    pub fn start_span(&mut self, request: &Span) {
+        self.span = telemetry::attempt_span(request, &self.backend, self.attempt);
+    }
+
     /// Asks the crash guard whether the request may be sent now; `Run` starts the attempt.
     pub fn guard(&self, fingerprint: &Fingerprint) -> Verdict {
         self.home
@@ -59,6 +71,7 @@
     /// Tells the detector that the request goes out.
     pub fn mark_sent(&mut self, reused: bool) {
         self.sent = true;
+        self.sent_at = self.home.now();
         self.home.observe(&BackendEvent::Sent {
             backend: self.backend.clone(),
             attempt: self.attempt,
@@ -66,9 +79,11 @@
         });
     }
 
-    /// Tells the detector that the head of the response arrived.
-    pub fn mark_answered(&mut self) {
+    /// Tells the detector that the head of the response arrived. Returns the time since the request
+    /// went out.
+    pub fn mark_answered(&mut self) -> Duration {
         self.home.observe(&BackendEvent::Answered { attempt: self.attempt });
+        self.home.now().saturating_sub(self.sent_at)
     }
 
     /// Tells the detector how the attempt ended and frees the slot.
@@ -81,6 +96,7 @@
             return;
         }
         self.ended = true;
+        self.span.record("outcome", tracing::field::debug(outcome));
         let end = match outcome {
             AttemptOutcome::Success | AttemptOutcome::ServerError => AttemptEnd::Answered,
             AttemptOutcome::Reset => AttemptEnd::Reset,
--- a/components/telemetry/src/catalogue.rs
+++ b/components/telemetry/src/catalogue.rs
@@ -39,6 +39,12 @@
         "If it repeats, look for an overloaded host.";
     DRAIN_CUT = 108, Error, "drain-cut", "The process exits with requests unfinished.",
         "Find what ended it before its drain time; raise `drain_ms` if it was the time.";
+    OPERATORS_UNSERVED = 109, Error, "operators-unserved", "The server for operators ended; this VM takes no more changes.",
+        "Use another VM for changes and restart this one.";
+    ADMIN_UNSERVED = 110, Warn, "admin-unserved", "A connection for metrics and health could not be accepted.",
+        "If it repeats, look for a lack of file descriptors.";
+    TRACES_LOST = 111, Warn, "traces-lost", "The last spans did not reach the collector.",
+        "Check `traces.endpoint` and the collector.";
     PEER_JOINED = 201, Info, "peer-joined", "Another VM was seen for the first time.",
         "Nothing.";
     PEER_SUSPECT = 202, Warn, "peer-suspect", "Another VM does not answer, directly or through others.",
@@ -51,6 +57,10 @@
         "If it repeats, look for a flapping link or a paused VM.";
     PEER_REJECTED = 206, Error, "peer-rejected", "Another VM did not prove that it knows the fleet secret.",
         "Compare `secrets.fleet` on both VMs; else look for an intruder.";
+    MESSAGES_LOST = 207, Debug, "messages-lost", "Messages to another VM were lost; its protocols repeat them.",
+        "Nothing; look at the network if a VM is suspect as well.";
+    MESSAGE_SKIPPED = 208, Debug, "message-skipped", "A message of another VM is of a kind that this release does not know.",
+        "Nothing while two releases run side by side.";
     CONFIG_IN_FORCE = 301, Info, "config-in-force", "A newer version of the configuration is in effect here.",
         "Nothing.";
     CONFIG_STALE = 302, Error, "config-stale", "The configuration cannot be confirmed; keyed routes are refused.",
@@ -61,6 +71,12 @@
         "Delete the object after the next snapshot was written.";
     DELTA_UNREADABLE = 305, Error, "delta-unreadable", "A change of the configuration cannot be read by this release.",
         "Update this VM.";
+    CONFIG_UNREAD = 306, Warn, "config-unread", "The newest configuration could not be read; it is tried again.",
+        "If it lasts, restore the platform.";
+    HEAD_UNREAD = 307, Debug, "head-unread", "The version of the newest configuration could not be read; it is tried again.",
+        "Nothing; event 601 tells of a platform that is away.";
+    SNAPSHOT_UNWRITTEN = 308, Warn, "snapshot-unwritten", "A snapshot of the configuration was not written.",
+        "Check the object store; starting VMs read more changes until the next snapshot.";
     BACKEND_SUSPECTED = 401, Warn, "backend-suspected", "A backend server is suspect and used last.",
         "Nothing yet.";
     BACKEND_EJECTED = 402, Warn, "backend-ejected", "A backend server is ejected.",
@@ -85,6 +101,12 @@
         "Nothing.";
     SESSION_AT_RISK = 504, Error, "session-at-risk", "The session was not renewed for most of its lease.",
         "Restore the platform before the lease ends.";
+    SESSION_UNRENEWED = 505, Warn, "session-unrenewed", "The session was not renewed; it is tried again.",
+        "Restore the platform if event 504 follows.";
+    RIGHTS_UNCHANGED = 506, Debug, "rights-unchanged", "Units of a right were not claimed or returned yet; it is tried again.",
+        "Nothing; event 601 tells of a platform that is away.";
+    RIGHTS_KEPT = 507, Warn, "rights-kept", "This VM stops without having returned its units; they are unusable until its session ends.",
+        "Nothing; let the platform answer before more VMs are stopped.";
     STORE_AWAY = 601, Error, "store-away", "The platform's table cannot be reached.",
         "Restore the platform; the fleet goes on with what it holds.";
     STORE_BACK = 602, Info, "store-back", "The platform's table answers again.",
@@ -95,6 +117,8 @@
         "If it lasts, find which VMs call too often.";
     STORE_GARBLED = 605, Error, "store-garbled", "The platform's answer cannot be read.",
         "Check `platform.address` and the platform's version.";
+    VM_LIST_UNREAD = 606, Debug, "vm-list-unread", "The platform's list of VMs could not be read or written; it is tried again.",
+        "Nothing; the VMs find each other without it once they are started.";
     CRASH_SUSPECT = 701, Warn, "crash-suspect", "A request is suspected of crashing backend servers.",
         "Nothing yet.";
     CRASH_REFUSED = 702, Error, "crash-refused", "A request crashed two backend servers and is refused.",
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod catalogue;
 mod event;
+mod labels;
 mod logs;
 mod metrics;
 mod repeats;
@@ -14,12 +15,13 @@
 }
 
 pub use event::{Event, emit, events_table, write};
+pub use labels::{PeerState, RequestOutcome, StoreCall, StoreResult};
 pub use log;
 pub use logs::{dispatch, init_logs};
-pub use metrics::{Metrics, PeerState, RequestOutcome, ServiceMetrics, StoreCall, StoreResult};
+pub use metrics::{Metrics, ServiceMetrics};
 pub use repeats::{Repeat, Repeats};
-pub use shares::{OrganisationShare, select_shares};
+pub use shares::{Demand, OrganisationShare, max_min, select_shares};
 pub use traces::{
     Tracing, attempt_span, entry_span, extract_context, forward_span, inject_context,
-    platform_span, queue_span, start_traces,
+    platform_span, queue_span, record_spans, start_traces,
 };
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -1,106 +1,22 @@
-use std::fmt::{self, Write};
+use std::fmt;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use kernel::{EjectReason, RefusalKind, Version};
-use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder, text};
+use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
-use crate::{OrganisationShare, select_shares};
+use crate::{OrganisationShare, PeerState, RequestOutcome, StoreCall, StoreResult, select_shares};
 
 /// Organisations shown for the service that is due to them.
 const TOP_SHARES: usize = 10;
 /// Organisations shown for being served worst.
 const WORST_SHARES: usize = 5;
 
-macro_rules! label_values {
-    ($($(#[$doc:meta])* $name:ident { $($(#[$value:meta])* $variant:ident = $text:literal,)* })*) => {$(
-        $(#[$doc])*
-        #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-        pub enum $name {
-            $($(#[$value])* $variant,)*
-        }
-
-        impl EncodeLabelValue for $name {
-            fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> fmt::Result {
-                encoder.write_str(match self { $($name::$variant => $text,)* })
-            }
-        }
-    )*};
-}
-
-label_values! {
-    /// How a request ended for its caller.
-    RequestOutcome {
-        /// A whole answer of a backend server that is not its own failure.
-        Answered = "answered",
-        /// A backend server's own failure, passed on.
-        BackendError = "backend-error",
-        /// Refused; not run.
-        NotRun = "not-run",
-        /// Refused; may have run.
-        Unknown = "unknown",
-    }
-
-    /// State of another VM.
-    PeerState {
-        /// Answers.
-        Alive = "alive",
-        /// Does not answer.
-        Suspect = "suspect",
-        /// Counts as dead.
-        Dead = "dead",
-    }
-
-    /// Kind of a call to the platform.
-    StoreCall {
-        /// Row read or scan.
-        Read = "read",
-        /// Commit.
-        Commit = "commit",
-        /// Object read or list.
-        ObjectRead = "object-read",
-        /// Object write or delete.
-        ObjectWrite = "object-write",
-        /// List of VMs.
-        Vms = "vms",
-    }
-
-    /// Result of a call to the platform.
-    StoreResult {
-        /// Answered.
-        Ok = "ok",
-        /// A check failed.
-        Conflict = "conflict",
-        /// Over the budget.
-        Throttled = "throttled",
-        /// Not sent.
-        Unreachable = "unreachable",
-        /// Sent and not answered.
-        ReplyLost = "reply-lost",
-        /// Answered with nonsense.
-        Garbled = "garbled",
-    }
-}
-
-impl<T> From<&Result<T, kernel::PlatformError>> for StoreResult {
-    fn from(result: &Result<T, kernel::PlatformError>) -> Self {
-        use kernel::PlatformError::{Conflict, Garbled, ReplyLost, Throttled, Unreachable};
-        match result {
-            Ok(_) => StoreResult::Ok,
-            Err(Conflict { .. }) => StoreResult::Conflict,
-            Err(Throttled) => StoreResult::Throttled,
-            Err(Unreachable(_)) => StoreResult::Unreachable,
-            Err(ReplyLost(_)) => StoreResult::ReplyLost,
-            Err(Garbled(_)) => StoreResult::Garbled,
-        }
-    }
-}
-
 #[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
 struct RequestLabels {
     service: String,
@@ -127,6 +43,12 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+struct DetectionLabels {
+    stage: &'static str,
+    reason: &'static str,
+}
+
 #[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
 struct OrganisationLabels {
     organisation: String,
@@ -152,14 +74,19 @@
     requests: Family<RequestLabels, Counter>,
     refusals: Family<KindLabels, Counter>,
     refused_within_rate: Family<ServiceLabels, Counter>,
+    took: Histograms<ForwardLabels>,
     added: Histograms<ForwardLabels>,
-    detection: Histograms<ReasonLabels>,
+    detection: Histograms<DetectionLabels>,
+    suspicions: Family<ReasonLabels, Counter>,
     ejections: Family<ReasonLabels, Counter>,
+    restorations: Counter,
     false_ejections: Counter,
     served: Family<OrganisationLabels, Seconds>,
     due: Family<OrganisationLabels, Seconds>,
     version: Gauge<u64, AtomicU64>,
+    age: Seconds,
     peers: Family<PeerLabels, Gauge>,
+    units: Family<KindLabels, Gauge<u64, AtomicU64>>,
     store: Family<StoreLabels, Counter>,
 }
 
@@ -199,20 +126,27 @@
     Histogram::new(bounds)
 }
 
+fn took_buckets() -> Histogram {
+    // 1 ms to 65 s.
+    Histogram::new(exponential_buckets(0.001, 2.0, 17))
+}
+
 fn detection_buckets() -> Histogram {
     Histogram::new([0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 4.0, 5.0, 7.5, 10.0, 20.0, 60.0])
 }
 
-fn reason(reason: EjectReason) -> ReasonLabels {
-    ReasonLabels {
-        reason: match reason {
-            EjectReason::Stalled => "stalled",
-            EjectReason::Slow => "slow",
-            EjectReason::Failing => "failing",
-        },
+fn name(reason: EjectReason) -> &'static str {
+    match reason {
+        EjectReason::Stalled => "stalled",
+        EjectReason::Slow => "slow",
+        EjectReason::Failing => "failing",
     }
 }
 
+fn yes(truth: bool) -> &'static str {
+    if truth { "yes" } else { "no" }
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         Metrics {
@@ -220,14 +154,19 @@
             requests: Family::default(),
             refusals: Family::default(),
             refused_within_rate: Family::default(),
+            took: Family::new_with_constructor(took_buckets),
             added: Family::new_with_constructor(added_buckets),
             detection: Family::new_with_constructor(detection_buckets),
+            suspicions: Family::default(),
             ejections: Family::default(),
+            restorations: Counter::default(),
             false_ejections: Counter::default(),
             served: Family::default(),
             due: Family::default(),
             version: Gauge::default(),
+            age: Seconds::default(),
             peers: Family::default(),
+            units: Family::default(),
             store: Family::default(),
         }
         .register()
@@ -249,11 +188,16 @@
             "Requests refused although within their organisation's rate, by service",
             self.refused_within_rate.clone(),
         );
-        let help = "Time that the fleet added to a request";
+        let help = "Time from the head of a request to the head of its response";
+        r.register_with_unit("request", help, Unit::Seconds, self.took.clone());
+        let help = "That time without the attempt that answered";
         r.register_with_unit("added", help, Unit::Seconds, self.added.clone());
         let help = "Age of the oldest evidence when a backend server became suspect or ejected";
         r.register_with_unit("detection", help, Unit::Seconds, self.detection.clone());
+        r.register("suspicions", "Suspicions by reason", self.suspicions.clone());
         r.register("ejections", "Ejections by reason", self.ejections.clone());
+        let help = "Backend servers that take trials or work again";
+        r.register("restorations", help, self.restorations.clone());
         let help = "Ejections that trials showed to be false";
         r.register("false_ejections", help, self.false_ejections.clone());
         let help = "Slot time used in the last interval by the top and worst-served organisations";
@@ -261,7 +205,10 @@
         let help = "Max-min share in the last interval of the same organisations";
         r.register_with_unit("share_due", help, Unit::Seconds, self.due.clone());
         r.register("config_version", "Version of the configuration", self.version.clone());
+        let help = "Time since the configuration was known to be the newest";
+        r.register_with_unit("config_age", help, Unit::Seconds, self.age.clone());
         r.register("peers", "Other VMs by state", self.peers.clone());
+        r.register("units", "Units of rights that this VM holds, by kind", self.units.clone());
         r.register("store_calls", "Calls to the platform by result", self.store.clone());
         self
     }
@@ -295,20 +242,36 @@
         self.refusals.get_or_create(&KindLabels { kind: kind.as_str() }).inc();
     }
 
+    /// Records the time from the head of a request to the head of its response. `forwarded` tells
+    /// whether another VM forwarded the request.
+    pub fn record_took(&self, took: Duration, forwarded: bool) {
+        let labels = ForwardLabels { forwarded: yes(forwarded) };
+        self.took.get_or_create(&labels).observe(took.as_secs_f64());
+    }
+
     /// Records the time that the fleet added to a request.
     pub fn record_added(&self, added: Duration, forwarded: bool) {
-        let forwarded = if forwarded { "yes" } else { "no" };
-        self.added.get_or_create(&ForwardLabels { forwarded }).observe(added.as_secs_f64());
+        let labels = ForwardLabels { forwarded: yes(forwarded) };
+        self.added.get_or_create(&labels).observe(added.as_secs_f64());
+    }
+
+    /// Counts a backend server that became suspect, with the age of the oldest evidence.
+    pub fn count_suspicion(&self, why: EjectReason, after: Duration) {
+        self.suspicions.get_or_create(&ReasonLabels { reason: name(why) }).inc();
+        let labels = DetectionLabels { stage: "suspected", reason: name(why) };
+        self.detection.get_or_create(&labels).observe(after.as_secs_f64());
     }
 
-    /// Records the age of the oldest evidence when a backend server became suspect or ejected.
-    pub fn record_detection(&self, why: EjectReason, after: Duration) {
-        self.detection.get_or_create(&reason(why)).observe(after.as_secs_f64());
+    /// Counts an ejection, with the age of the oldest evidence.
+    pub fn count_ejection(&self, why: EjectReason, after: Duration) {
+        self.ejections.get_or_create(&ReasonLabels { reason: name(why) }).inc();
+        let labels = DetectionLabels { stage: "ejected", reason: name(why) };
+        self.detection.get_or_create(&labels).observe(after.as_secs_f64());
     }
 
-    /// Counts an ejection.
-    pub fn count_ejection(&self, why: EjectReason) {
-        self.ejections.get_or_create(&reason(why)).inc();
+    /// Counts a backend server that takes trials or work again.
+    pub fn count_restoration(&self) {
+        self.restorations.inc();
     }
 
     /// Counts an ejection that trials showed to be false.
@@ -332,6 +295,16 @@
         self.version.set(version);
     }
 
+    /// Sets the time since the configuration was known to be the newest.
+    pub fn set_age(&self, age: Duration) {
+        self.age.set(age.as_secs_f64());
+    }
+
+    /// Sets the number of units that this VM holds of all rights of a kind.
+    pub fn set_units(&self, kind: &'static str, units: u64) {
+        self.units.get_or_create(&KindLabels { kind }).set(units);
+    }
+
     /// Sets the number of other VMs in a state.
     pub fn set_peers(&self, state: PeerState, peers: usize) {
         let peers = i64::try_from(peers).unwrap_or(i64::MAX);
--- a/components/telemetry/src/shares.rs
+++ b/components/telemetry/src/shares.rs
@@ -43,3 +43,31 @@
     all.extend(rest.into_iter().take(worst));
     all
 }
+
+/// What an organisation wanted in an interval.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Demand {
+    /// Weight of the organisation. Above 0.
+    pub weight: f64,
+    /// Slot time that it wanted, in seconds.
+    pub wanted: f64,
+}
+
+/// Weighted max-min shares of a capacity, in the order of the demands. No share is above its
+/// demand, and the capacity is used up if the demands are large enough.
+pub fn max_min(capacity: f64, demands: &[Demand]) -> Vec<f64> {
+    let level = |d: &Demand| d.wanted / d.weight;
+    let mut order: Vec<usize> = (0..demands.len()).collect();
+    order.sort_by(|a, b| level(&demands[*a]).total_cmp(&level(&demands[*b])));
+    let mut weights: f64 = demands.iter().map(|d| d.weight).sum();
+    let mut left = capacity;
+    let mut shares = vec![0.0; demands.len()];
+    // The least demand relative to its weight is met first; what it leaves goes to the others.
+    for index in order {
+        let demand = demands[index];
+        shares[index] = demand.wanted.min(left * demand.weight / weights);
+        left -= shares[index];
+        weights -= demand.weight;
+    }
+    shares
+}
--- a/components/telemetry/src/traces.rs
+++ b/components/telemetry/src/traces.rs
@@ -12,7 +12,7 @@
 use opentelemetry_sdk::propagation::TraceContextPropagator;
 use opentelemetry_sdk::trace::span_processor_with_async_runtime::BatchSpanProcessor;
 use opentelemetry_sdk::trace::{IdGenerator, Sampler, SdkTracerProvider};
-use opentelemetry_sdk::{Resource, runtime};
+use opentelemetry_sdk::{Resource, runtime, trace};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use settings::Traces;
@@ -84,13 +84,23 @@
         .with_endpoint(format!("http://{endpoint}/v1/traces"))
         .build()
         .context("cannot set up the trace exporter; check traces.endpoint")?;
+    record_spans(exporter, traces.sample, vm, seed).map(Some)
+}
+
+/// Starts to record traces with an exporter. Needs a tokio runtime.
+pub fn record_spans(
+    exporter: impl trace::SpanExporter + 'static,
+    sample: f64,
+    vm: &str,
+    seed: u64,
+) -> anyhow::Result<Tracing> {
     let resource = Resource::builder_empty()
         .with_service_name("papayareel")
         .with_attribute(KeyValue::new("service.instance.id", vm.to_owned()))
         .build();
     let provider = SdkTracerProvider::builder()
         .with_span_processor(BatchSpanProcessor::builder(exporter, runtime::Tokio).build())
-        .with_sampler(Sampler::ParentBased(Box::new(Sampler::TraceIdRatioBased(traces.sample))))
+        .with_sampler(Sampler::ParentBased(Box::new(Sampler::TraceIdRatioBased(sample))))
         .with_id_generator(SeededIds(Mutex::new(StdRng::seed_from_u64(seed))))
         .with_resource(resource)
         .build();
@@ -100,7 +110,7 @@
     let subscriber = tracing_subscriber::registry().with(layer);
     tracing::subscriber::set_global_default(subscriber)
         .context("traces are recorded already; start them once per process")?;
-    Ok(Some(Tracing { provider }))
+    Ok(Tracing { provider })
 }
 
 /// The W3C trace context that the headers carry; an empty one if they carry none.
@@ -142,7 +152,7 @@
 }
 
 /// Span of a request that is forwarded to another VM.
-pub fn forward_span(parent: &Span, vm: &str, hops: u32) -> Span {
+pub fn forward_span(parent: &Span, vm: &str, hops: u8) -> Span {
     debug_span!(target: TARGET, parent: parent, "forward", vm, hops)
 }
 
--- a/components/telemetry/tests/metrics.rs
+++ b/components/telemetry/tests/metrics.rs
@@ -4,7 +4,8 @@
 
 use kernel::{EjectReason, PlatformError, RefusalKind};
 use telemetry::{
-    Metrics, OrganisationShare, PeerState, RequestOutcome, StoreCall, StoreResult, select_shares,
+    Demand, Metrics, OrganisationShare, PeerState, RequestOutcome, StoreCall, StoreResult, max_min,
+    select_shares,
 };
 
 fn share(organisation: &str, served: f64, due: f64) -> OrganisationShare {
@@ -20,11 +21,15 @@
     service.count_refused_within_rate();
     metrics.count_refusal(RefusalKind::RateExceeded);
     metrics.record_added(Duration::from_micros(1500), true);
-    metrics.record_detection(EjectReason::Stalled, Duration::from_millis(900));
-    metrics.count_ejection(EjectReason::Slow);
+    metrics.record_took(Duration::from_millis(55), false);
+    metrics.count_suspicion(EjectReason::Stalled, Duration::from_millis(900));
+    metrics.count_ejection(EjectReason::Slow, Duration::from_millis(1900));
+    metrics.count_restoration();
     metrics.count_false_ejection();
     metrics.set_shares(&[share("radio", 1.5, 2.0)]);
     metrics.set_version(42);
+    metrics.set_age(Duration::from_millis(1500));
+    metrics.set_units("rate", 12);
     metrics.set_peers(PeerState::Suspect, 3);
     let lost: Result<(), _> = Err(PlatformError::ReplyLost("".into()));
     metrics.count_store_call(StoreCall::Commit, StoreResult::from(&lost));
@@ -34,12 +39,18 @@
         r#"papayareel_refused_within_rate_total{service="manus"} 1"#,
         r#"papayareel_refusals_total{kind="rate-exceeded"} 1"#,
         r#"papayareel_added_seconds_bucket{le="0.0016",forwarded="yes"} 1"#,
-        r#"papayareel_detection_seconds_bucket{le="1.0",reason="stalled"} 1"#,
+        r#"papayareel_request_seconds_bucket{le="0.064",forwarded="no"} 1"#,
+        r#"papayareel_detection_seconds_bucket{le="1.0",stage="suspected",reason="stalled"} 1"#,
+        r#"papayareel_detection_seconds_bucket{le="2.0",stage="ejected",reason="slow"} 1"#,
+        r#"papayareel_suspicions_total{reason="stalled"} 1"#,
+        "papayareel_restorations_total 1",
         r#"papayareel_ejections_total{reason="slow"} 1"#,
         "papayareel_false_ejections_total 1",
         r#"papayareel_share_served_seconds{organisation="radio"} 1.5"#,
         r#"papayareel_share_due_seconds{organisation="radio"} 2.0"#,
         "papayareel_config_version 42",
+        "papayareel_config_age_seconds 1.5",
+        r#"papayareel_units{kind="rate"} 12"#,
         r#"papayareel_peers{state="suspect"} 3"#,
         r#"papayareel_store_calls_total{call="commit",result="reply-lost"} 1"#,
     ] {
@@ -66,3 +77,14 @@
     assert_eq!(text.matches("share_served_seconds{").count(), 15);
     assert!(text.contains(r#"{organisation="starved"}"#));
 }
+
+/// Guards against a due share that ignores weights, exceeds the demand or leaves slot time unused.
+#[test]
+fn due_shares_are_max_min() {
+    let demand = |weight, wanted| Demand { weight, wanted };
+    let all = [demand(1.0, 1.0), demand(1.0, 10.0), demand(2.0, 10.0), demand(1.0, 0.0)];
+    assert_eq!(max_min(10.0, &all), [1.0, 3.0, 6.0, 0.0]);
+    assert_eq!(max_min(100.0, &all), [1.0, 10.0, 10.0, 0.0]);
+    assert_eq!(max_min(0.0, &all), [0.0; 4]);
+    assert!(max_min(1.0, &[]).is_empty());
+}
