--- a/tools/harness/src/fleet.rs
+++ b/tools/harness/src/fleet.rs
@@ -15,6 +15,7 @@
 use crate::caller::{Reply, http};
 use crate::net::Net;
 use crate::process::Process;
+use crate::programs::Programs;
 use crate::shape::Shape;
 
 /// Token of the operators of a fleet.
@@ -22,15 +23,6 @@
 /// Longest wait for a fleet to serve; generous, since machines differ.
 const START_LIMIT: Duration = Duration::from_secs(60);
 
-/// How the programs of a fleet are started.
-#[derive(Clone, Debug)]
-pub struct Programs {
-    /// Command that takes a settings file.
-    pub daemon: Vec<OsString>,
-    /// Command that takes `platform` or `backend` and its options.
-    pub standins: Vec<OsString>,
-}
-
 /// A running fleet with its platform and backend servers.
 pub struct Fleet {
     net: Net,
@@ -55,7 +47,9 @@
         std::fs::create_dir_all(&dir)
             .with_context(|| format!("cannot create {}", dir.display()))?;
         let net = Net::new();
-        let args = ["platform", "--listen", &net.address(250, 7000).to_string()].map(Into::into);
+        let (listen, control) = (net.address(250, 7000), net.address(250, 7001));
+        let args = ["platform", "--listen", &listen.to_string(), "--control", &control.to_string()]
+            .map(Into::into);
         let platform =
             Process::start("platform", &programs.standins, &args, &dir.join("platform.log"))?;
         let mut fleet = Fleet {
@@ -88,6 +82,11 @@
         self.net.address(250, 7000)
     }
 
+    /// Address of the platform's switches; it answers also while the platform refuses.
+    pub fn platform_control(&self) -> SocketAddr {
+        self.net.address(250, 7001)
+    }
+
     /// Address of a VM for callers.
     pub fn callers(&self, vm: usize) -> SocketAddr {
         self.net.address(vm as u8 + 1, 8001)
@@ -108,6 +107,11 @@
         self.net.address(backend as u8 + 100, 9000)
     }
 
+    /// Address of a backend server's switches; it answers also while the server refuses.
+    pub fn backend_control(&self, backend: usize) -> SocketAddr {
+        self.net.address(backend as u8 + 100, 9001)
+    }
+
     /// Folder with settings and logs.
     pub fn dir(&self) -> &PathBuf {
         &self.dir
@@ -118,6 +122,7 @@
         let args = [
             "backend".to_owned(),
             format!("--listen={}", self.backend(i)),
+            format!("--control={}", self.backend_control(i)),
             format!("--id=b{i}"),
             format!("--slots={}", shape.slots),
             format!("--median-ms={}", self.shape.median.as_millis()),
--- a/tools/harness/src/lib.rs
+++ b/tools/harness/src/lib.rs
@@ -4,10 +4,17 @@
 mod fleet;
 mod net;
 mod process;
+mod programs;
+mod sample;
+mod seen;
 mod shape;
+mod verdict;
 
 pub use caller::{Caller, Reply, http};
-pub use fleet::{Fleet, Programs, TOKEN};
+pub use fleet::{Fleet, TOKEN};
 pub use net::Net;
 pub use process::Process;
+pub use programs::Programs;
+pub use sample::{KEY, OTHER_KEY, SPARE_KEY, sample_changes, sample_shape};
 pub use shape::{BackendShape, Shape, VmShape};
+pub use verdict::Verdict;
--- /dev/null
+++ b/tools/harness/src/sample.rs
@@ -0,0 +1,64 @@
+use std::time::Duration;
+
+use config::{Change, Organisation, Route, Service, digest_key};
+use kernel::prelude::*;
+
+use crate::fleet::Fleet;
+use crate::shape::Shape;
+
+/// Key of the organisation that may use every route.
+pub const KEY: &str = "papk-sample-key-of-radio-umea-5f1c";
+/// Key of the organisation that may not use `/sluten`.
+pub const OTHER_KEY: &str = "papk-sample-key-of-radio-malmo-77aa";
+/// Key of the first organisation that tests withdraw.
+pub const SPARE_KEY: &str = "papk-sample-key-to-withdraw-90e2";
+/// Failure domains of the sample fleet, one VM after the other.
+const PLACES: &[(&str, &str)] = &[("norrland", "umea-a"), ("gotaland", "malmo-a")];
+
+/// A fleet of this many VMs in two regions and six backend servers of two services.
+pub fn sample_shape(vms: usize) -> Shape {
+    let mut shape = Shape::spread(PLACES, vms, &[("manus", 3), ("sandning", 3)], 8);
+    shape.settings = serde_json::json!({"entry": {"homes": 8}, "log": {"level": "debug"}});
+    shape
+}
+
+/// The sample configuration. Routes: `/manus` (idempotent), `/sandning` (not), `/sluten` (for the
+/// first organisation only) and `/fri` (without a key).
+pub fn sample_changes(fleet: &Fleet) -> Vec<Change> {
+    let mut changes = Vec::new();
+    for service in ["manus", "sandning"] {
+        let backends = fleet.specs(service);
+        changes.push(Change::PutService {
+            id: service.into(),
+            service: Service { floor: 0.3, backends },
+        });
+    }
+    for name in ["radio-umea", "radio-malmo"] {
+        // Far above what the tests send, so that no rate refuses.
+        let rate = Rate { per_second: 20_000.0, burst: 20_000.0 };
+        let organisation = Organisation { rate, weight: 1.0 };
+        changes.push(Change::PutOrganisation { id: name.into(), organisation });
+    }
+    for (name, service) in
+        [("manus", "manus"), ("sandning", "sandning"), ("sluten", "manus"), ("fri", "manus")]
+    {
+        let route = Route {
+            prefix: format!("/{name}").into(),
+            methods: Vec::new(),
+            service: service.into(),
+            open: name == "fri",
+            idempotent: service == "manus",
+            weight: 1.0,
+            deadline: Duration::from_secs(20),
+            organisations: if name == "sluten" { vec!["radio-umea".into()] } else { Vec::new() },
+        };
+        changes.push(Change::PutRoute { id: name.into(), route });
+    }
+    for (key, organisation) in
+        [(KEY, "radio-umea"), (SPARE_KEY, "radio-umea"), (OTHER_KEY, "radio-malmo")]
+    {
+        let digest = digest_key(key.as_bytes());
+        changes.push(Change::IssueKey { digest, organisation: organisation.into() });
+    }
+    changes
+}
--- /dev/null
+++ b/tools/harness/src/seen.rs
@@ -0,0 +1,116 @@
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, bail, ensure};
+use http::Method;
+use serde_json::Value;
+
+use crate::caller::{Caller, http};
+use crate::fleet::Fleet;
+use crate::sample::sample_changes;
+
+/// Longest wait for something that must come about; generous, since machines differ.
+const LIMIT: Duration = Duration::from_secs(60);
+
+impl Fleet {
+    /// What a backend server has seen.
+    pub async fn seen(&self, backend: usize) -> anyhow::Result<Value> {
+        let reply = http(self.backend_control(backend), &Method::GET, "/seen", &[], "").await?;
+        Ok(reply.json())
+    }
+
+    /// How often the backend servers together began to run the request with this idempotency key.
+    pub async fn runs(&self, key: &str) -> anyhow::Result<u64> {
+        let mut runs = 0;
+        for backend in 0..self.backends.len() {
+            runs += self.seen(backend).await?["runs"][key].as_u64().unwrap_or(0);
+        }
+        Ok(runs)
+    }
+
+    /// Whether any backend server received this text. Letters, digits and `-` only.
+    pub async fn received(&self, text: &str) -> anyhow::Result<bool> {
+        let mut found = false;
+        for backend in 0..self.backends.len() {
+            let target = format!("/seen?text={text}");
+            let seen =
+                http(self.backend_control(backend), &Method::GET, &target, &[], "").await?.json();
+            ensure!(seen["forgotten"] == 0, "backend server {backend} could not keep everything");
+            found |= seen["present"].as_bool().context("no answer about the text")?;
+        }
+        Ok(found)
+    }
+
+    /// Waits until a backend server has begun to run the request with this idempotency key.
+    pub async fn wait_run(&self, key: &str) -> anyhow::Result<()> {
+        let start = Instant::now();
+        while self.runs(key).await? == 0 {
+            ensure!(start.elapsed() < LIMIT, "no backend server began to run {key}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        Ok(())
+    }
+
+    /// Waits until every running VM knows this many VMs that answer.
+    pub async fn wait_members(&self, count: usize) -> anyhow::Result<()> {
+        let start = Instant::now();
+        for vm in (0..self.vms.len()).filter(|i| self.vms[*i].is_some()) {
+            loop {
+                let status = self.operator(vm).await?.status(Default::default()).await?;
+                if status.vms.iter().filter(|v| v.freshness.is_some()).count() == count {
+                    break;
+                }
+                if start.elapsed() > LIMIT {
+                    bail!("VM {vm} does not find {count} VMs: {:?}", status.vms);
+                }
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Puts the sample configuration in force and waits until each VM answers requests with it.
+    pub async fn load_sample(&self) -> anyhow::Result<()> {
+        self.wait_members(self.vms.len()).await?;
+        let version = self.apply(0, sample_changes(self)).await?;
+        self.wait_version(version).await?;
+        for vm in 0..self.vms.len() {
+            self.wait_served(vm).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until a VM answers a request with the sample key.
+    pub async fn wait_served(&self, vm: usize) -> anyhow::Result<()> {
+        let start = Instant::now();
+        let headers = [("papayareel-key", crate::sample::KEY)];
+        let mut caller = Caller::new(self.callers(vm));
+        loop {
+            let last = match caller.send(&Method::GET, "/manus/probe", &headers, "").await {
+                Ok(reply) if reply.status == 200 => return Ok(()),
+                Ok(reply) => format!("{} {}", reply.status, reply.json()),
+                Err(error) => format!("{error:#}"),
+            };
+            if start.elapsed() > LIMIT {
+                bail!("VM {vm} does not serve: {last}");
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    /// The prefix of idempotency keys that names the home of a service in a region, as a VM
+    /// tells it, and the number of that home.
+    pub async fn prefix(
+        &self,
+        vm: usize,
+        service: &str,
+        region: &str,
+    ) -> anyhow::Result<(String, usize)> {
+        let target = format!("/.papayareel/entry?service={service}&region={region}");
+        let entry = http(self.callers(vm), &Method::GET, &target, &[], "").await?.json();
+        let first = &entry["addresses"][0];
+        let prefix = first["idempotency_prefix"].as_str().context("the entry has no prefix")?;
+        let address = first["address"].as_str().context("the entry has no address")?;
+        let home = (0..self.vms.len()).find(|i| self.callers(*i).to_string() == address);
+        Ok((prefix.to_owned(), home.context("the entry names an unknown VM")?))
+    }
+}
