--- a/tools/measure/src/experiments/rates.rs
+++ b/tools/measure/src/experiments/rates.rs
@@ -124,6 +124,7 @@
     worst: Figure,
     waits: Figure,
     messages: Figure,
+    far: Figure,
 }
 
 impl Figures {
@@ -136,6 +137,7 @@
             worst: Figure::new(name("worst organisation"), "%", None),
             waits: Figure::new(name("wait, 99th percentile"), "ms", None),
             messages: Figure::new(name("messages of a VM"), "1/s", None),
+            far: Figure::new(name("messages between regions"), "1/s", None),
         }
     }
 
@@ -152,6 +154,7 @@
             (&mut self.worst, worst),
             (&mut self.waits, wait),
             (&mut self.messages, messages),
+            (&mut self.far, report.far as f64 / scenario.seconds as f64),
         ];
         for (figure, value) in figures {
             if naive { figure.naive.push(value) } else { figure.chosen.push(value) }
@@ -189,8 +192,8 @@
                 figures.add(scenario, &report.map_err(failed)??, *limiter == "naive");
             }
         }
-        let Figures { excess, refused, worst, waits, messages } = figures;
-        all.extend([excess, refused, worst, waits, messages]);
+        let Figures { excess, refused, worst, waits, messages, far } = figures;
+        all.extend([excess, refused, worst, waits, messages, far]);
     }
     Ok(all)
 }
--- a/tools/measure/src/rate_fleet.rs
+++ b/tools/measure/src/rate_fleet.rs
@@ -70,6 +70,8 @@
     pub waits: Histogram<u64>,
     /// Messages between VMs.
     pub messages: u64,
+    /// Those of them that went to the other region.
+    pub far: u64,
 }
 
 #[derive(Debug)]
@@ -132,6 +134,7 @@
                 counts: vec![Count::default(); tenants.len()],
                 waits: Histogram::new(3)?,
                 messages: 0,
+                far: 0,
             },
         };
         fleet.start()?;
@@ -324,6 +327,7 @@
                 LimiterAction::Send { to, message } => {
                     self.report.messages += 1;
                     let to = to as usize - 1;
+                    self.report.far += u64::from(latency(vm, to) > latency(vm, vm));
                     let delay = latency(vm, to).mul_f64(self.network.random_range(1.0..1.2));
                     self.later(delay, Event::Deliver { to, from: incarnation(vm), message });
                 }
