Ask the holders of the own region first

Cause: a grant from the other region is outstanding 60 ms longer, and the link between regions is billed by volume.

Change: holders whose last grant took more than 20 ms are asked after the others.

--- a/components/limiter/src/sources.rs
+++ b/components/limiter/src/sources.rs
@@ -9,6 +9,9 @@
 /// Longest time for which a silent VM is not asked.
 const LONGEST_PAUSE: Duration = Duration::from_secs(10);
 
+/// Round trips inside a region take a few milliseconds, those between regions about 60 ms.
+const FAR: Duration = Duration::from_millis(20);
+
 /// Weight of the newest grant in the measured scarcity.
 const NEWEST: f64 = 0.1;
 
@@ -22,6 +25,8 @@
     /// Asks in a row without an answer in time.
     misses: u32,
     asked: Uptime,
+    /// Its last grant took longer than a round trip inside a region.
+    far: bool,
 }
 
 /// An ask whose grant may still come.
@@ -72,16 +77,18 @@
         all: bool,
     ) -> Vec<Incarnation> {
         let holders = ranking.holders() as usize;
-        let mut ready: Vec<(bool, Uptime, u64, Incarnation)> = Vec::new();
+        let mut ready: Vec<(bool, bool, Uptime, u64, Incarnation)> = Vec::new();
         for (rank, vm) in ranking.vms().iter().enumerate().filter(|(_, vm)| **vm != me) {
             let source = self.known.get(vm);
             let usual = rank < holders || source.is_some_and(|s| s.giver);
             let open = source.is_none_or(|s| s.ready <= now);
             let asked = self.asks.iter().any(|a| a.holder == *vm && !a.late);
             if open && !asked && (usual || all) {
-                // The least recently asked first; the others in an order of this VM's own.
+                // Near ones first, since far grants are outstanding for longer; then the least
+                // recently asked, or an order of this VM's own.
+                let far = source.is_some_and(|s| s.far);
                 let last = source.map_or(Uptime::ZERO, |s| s.asked);
-                ready.push((!usual, last, (vm ^ me).wrapping_mul(0x9e37_79b9_7f4a_7c15), *vm));
+                ready.push((!usual, far, last, (vm ^ me).wrapping_mul(0x9e37_79b9_7f4a_7c15), *vm));
             }
         }
         ready.sort_unstable();
@@ -115,6 +122,7 @@
         let ask = self.asks.swap_remove(place);
         let source = self.known.entry(holder).or_default();
         source.misses = 0;
+        source.far = now - ask.at > FAR;
         source.giver = tokens > 0.0 || (source.giver && retry < crate::timing::NO_UNITS);
         source.ready = if tokens < ask.tokens { now.saturating_add(retry) } else { now };
         let tokens = tokens.max(0.0).min(ask.tokens);
