--- a/components/limiter/src/account.rs
+++ b/components/limiter/src/account.rs
@@ -226,7 +226,7 @@
         self.wanted = true;
         let granted = self.bucket.grant(now, from, grant, tokens);
         let retry = if self.bucket.held() > 0 {
-            self.bucket.wait_for(now, tokens - granted).clamp(RETRY.0, RETRY.1)
+            self.bucket.wait(now, (tokens - granted).min(1.0)).clamp(RETRY.0, RETRY.1)
         } else if self.claiming(now) {
             RETRY.0
         } else {
--- a/components/limiter/src/bucket.rs
+++ b/components/limiter/src/bucket.rs
@@ -209,11 +209,6 @@
         Uptime::try_from_secs_f64(missing / self.refill()).unwrap_or(Uptime::MAX)
     }
 
-    /// Time until the bucket has `tokens` tokens or is half full.
-    pub fn wait_for(&mut self, now: Uptime, tokens: f64) -> Uptime {
-        self.wait(now, tokens.min(self.cap() / 2.0))
-    }
-
     /// Whether nothing is held and no grant may be in use.
     pub fn is_idle(&self) -> bool {
         self.held() == 0 && self.given.is_empty()
