Judge backend servers that were cold together by each other

Change: recent latencies start anew after an idle time, and when most backend servers were cold lately, their median replaces the allowance.

--- a/components/detector/src/evidence.rs
+++ b/components/detector/src/evidence.rs
@@ -72,11 +72,14 @@
             let counts = track.state.takes_work() && !track.suspect;
             track.recent.mean(now, RECENT_KNOWN, RECENT_AGE).filter(|_| counts)
         };
+        let fresh = self.tracks.values().filter(|track| track.is_fresh()).count();
         let means: Vec<f64> = self.tracks.values().filter_map(recent).collect();
         // The median of two backend servers would be the slower one.
-        let peers = if means.len() >= 3 { median(means).unwrap_or(long) } else { long };
+        let known = means.len() >= 3;
+        let peers = if known { median(means).unwrap_or(long) } else { long };
+        let together = known && fresh * 2 > self.tracks.len();
         for track in self.tracks.values_mut() {
-            track.set_baseline(now, peers.max(long), spread);
+            track.set_baseline(now, peers.max(long), spread, together);
         }
     }
 
--- a/components/detector/src/track.rs
+++ b/components/detector/src/track.rs
@@ -13,6 +13,8 @@
 const PAST_PACE: f64 = 0.01;
 /// Answers until a backend server counts as warm.
 const WARM: u32 = 16;
+/// Answers until a backend server no longer counts as cold lately.
+const FRESH: u32 = 64;
 /// Idle time after which a backend server counts as cold.
 const IDLE: Duration = Duration::from_secs(60);
 /// Factor that a cold backend server may be slower without being judged.
@@ -149,10 +151,16 @@
         share.map_or(Standing::Healthy, Standing::Ramping)
     }
 
+    /// Whether it has answered little since it was cold.
+    pub fn is_fresh(&self) -> bool {
+        self.answers < FRESH
+    }
+
     /// Takes the service's baseline: latencies are judged by the worse of it and the own past.
-    pub fn set_baseline(&mut self, now: Uptime, service: f64, spread: f64) {
+    /// `together` tells that the baseline is that of backend servers that were cold lately, too.
+    pub fn set_baseline(&mut self, now: Uptime, service: f64, spread: f64, together: bool) {
         let past = self.past.mean(now, 20, CALM).unwrap_or(service);
-        let cold = if self.answers < WARM { COLD_FACTOR.ln() } else { 0.0 };
+        let cold = if self.answers < WARM && !together { COLD_FACTOR.ln() } else { 0.0 };
         self.mean = past.clamp(service, service + PAST_FACTOR.ln()) + cold;
         self.spread = spread;
     }
@@ -197,6 +205,7 @@
     pub fn send(&mut self, now: Uptime, attempt: AttemptId, reused: bool) {
         if now.saturating_sub(self.last_sent) > IDLE {
             self.answers = 0;
+            self.recent.reset();
         }
         self.last_sent = now;
         let trial = matches!(self.state, State::HalfOpen { .. });
