--- a/tools/measure/src/fakes/fleet.rs
+++ b/tools/measure/src/fakes/fleet.rs
@@ -258,9 +258,10 @@
             }
             DetectorAction::Probe { backend } => {
                 let backend = index(&backend);
-                // Gray backend servers pass probes; only a partition stops them.
-                if !self.setup.script.is_cut(vm, backend, self.now) {
-                    let end = self.now + Duration::from_millis(27);
+                // Gray backend servers pass probes; a pause delays them and a partition stops them.
+                let work = Duration::from_millis(27);
+                let end = self.setup.script.finish(backend, self.now, work);
+                if !self.setup.script.is_cut(vm, backend, end) {
                     self.at(end, Event::Probed(vm, backend, true));
                 }
             }
