Answer unreadable, oversized and slow heads with a kind and a remedy

Cause: the HTTP library answers such heads itself, with a bare status or by closing the connection, so that callers got no kind, outcome or remedy.

Change: the callers' connections replace the library's bare responses by refusals, and answer a head that came too slowly before they close.

Result: an_oversized_head_is_refused, a_slow_head_is_refused and garbage_is_refused pass; they were red before.

--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -4,6 +4,8 @@
 mod attempt;
 mod body;
 mod call;
+mod caller_io;
+mod counted;
 mod engine;
 mod entry;
 mod executor;
--- a/components/proxy/src/server.rs
+++ b/components/proxy/src/server.rs
@@ -10,6 +10,8 @@
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
+use crate::caller_io::{Active, CallerIo};
+use crate::counted::{Counted, CountedBody};
 use crate::engine::Engine;
 
 /// Pause after a failed accept, so that a VM out of descriptors does not spin.
@@ -62,11 +64,18 @@
         };
         let _ = stream.set_nodelay(true);
         let engine = Arc::clone(&engine);
+        let active = Active::default();
+        let io = CallerIo::new(stream, Arc::clone(&active));
         let service = service_fn(move |request| {
             let engine = Arc::clone(&engine);
-            async move { Ok::<_, Infallible>(engine.handle(request).await) }
+            let counted = Counted::new(&active);
+            async move {
+                let response = engine.handle(request).await;
+                let body = response.map(|body| CountedBody { body, _counted: counted });
+                Ok::<_, Infallible>(body)
+            }
         });
-        let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
+        let connection = builder.serve_connection(TokioIo::new(io), service).into_owned();
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
             // A caller that breaks its connection is not an event of the fleet.
--- a/tools/harness/src/parts.rs
+++ b/tools/harness/src/parts.rs
@@ -3,7 +3,7 @@
 use anyhow::Context;
 use settings::Settings;
 
-use crate::fleet::Programs;
+use crate::programs::Programs;
 
 /// First argument of a process that is one part of a fleet.
 const DAEMON: &str = "part-daemon";
--- a/tools/measure/src/experiments/mod.rs
+++ b/tools/measure/src/experiments/mod.rs
@@ -2,10 +2,10 @@
 
 mod detection;
 mod ejections;
+mod fairness;
 mod latency;
 mod link;
 mod rates;
-mod fairness;
 mod retries;
 
 use crate::Options;
--- a/tools/measure/src/lib.rs
+++ b/tools/measure/src/lib.rs
@@ -3,11 +3,8 @@
 pub mod experiments;
 pub mod fakes;
 pub mod figure;
-<<<<<<< HEAD
 pub mod rate_fleet;
-=======
 pub mod service_fake;
->>>>>>> requests
 
 /// Seeds of an experiment.
 pub struct Options {
