--- a/components/detector/src/track.rs
+++ b/components/detector/src/track.rs
@@ -171,13 +171,8 @@
     }
 
     /// Evidence of unanswered requests, with the time that the oldest was sent. `pause` is the
-    /// part of their age that is excused, `join` adds the evidence of one to that of others.
-    fn weigh_flights(
-        &self,
-        now: Uptime,
-        pause: Duration,
-        join: fn(f64, f64) -> f64,
-    ) -> (f64, Option<Uptime>) {
+    /// part of their age that is excused.
+    fn weigh_flights(&self, now: Uptime, pause: Duration) -> (f64, Option<Uptime>) {
         let mut sum = (0.0, None);
         for flight in self.flights.values() {
             let age = now.saturating_sub(flight.sent).saturating_sub(pause);
@@ -186,7 +181,7 @@
             }
             let weight = weigh_age(self.deviation(age));
             if weight > 0.0 {
-                sum.0 = join(sum.0, weight);
+                sum.0 += weight;
                 sum.1 = sum.1.map_or(Some(flight.sent), |at: Uptime| Some(at.min(flight.sent)));
             }
         }
@@ -195,14 +190,14 @@
 
     /// Strongest evidence, its reason and its start, for the decision to suspect.
     pub fn weigh(&self, now: Uptime) -> (f64, EjectReason, Uptime) {
-        let (waiting, oldest) = self.weigh_flights(now, Duration::ZERO, |sum, weight| sum + weight);
+        let (waiting, oldest) = self.weigh_flights(now, Duration::ZERO);
         self.score.strongest(now, waiting, oldest)
     }
 
     /// Strongest evidence, its reason and its start, for the decision to eject: a pause that
     /// delays all requests in flight is not counted once for each.
     pub fn weigh_patiently(&self, now: Uptime) -> (f64, EjectReason, Uptime) {
-        let (waiting, oldest) = self.weigh_flights(now, PAUSE, f64::max);
+        let (waiting, oldest) = self.weigh_flights(now, PAUSE);
         self.score.strongest(now, waiting, oldest)
     }
 
