Visit idle accounts once a second

Change: an account without waiting requests, demand to prefetch for, grants, asks or reports is visited once a second, or when something happens to it.

--- a/components/limiter/src/account.rs
+++ b/components/limiter/src/account.rs
@@ -34,6 +34,9 @@
 /// Time of supply that may wait when no holder has tokens.
 const QUEUE_S: f64 = 0.25;
 
+/// Accounts that merely hold units are visited this often.
+const REST: Duration = Duration::from_secs(1);
+
 /// An account that has not been used for this long is dropped.
 const IDLE: Duration = Duration::from_secs(30);
 
@@ -60,6 +63,8 @@
     /// When the lease of the units was last extended.
     renewed: Uptime,
     used: Uptime,
+    /// Next visit if nothing happens before.
+    due: Uptime,
 }
 
 impl Account {
@@ -87,6 +92,7 @@
             surplus: None,
             renewed: now,
             used: now,
+            due: now,
         }
     }
 
@@ -252,6 +258,22 @@
         self.flush(now, actions);
         self.claim(now, actions);
         self.lower(now, actions);
+        self.due = if self.is_busy(now) { now } else { now + REST };
+    }
+
+    /// Whether time alone may lead to an action soon.
+    fn is_busy(&mut self, now: Uptime) -> bool {
+        let (per_second, waiting) = self.demand.measure(now);
+        waiting > 0
+            || self.aim(per_second) > 0.0
+            || !self.purse.is_empty()
+            || !self.sources.is_idle()
+            || !self.settled.is_empty()
+    }
+
+    /// Whether the account has to be visited although nothing has happened to it.
+    pub(crate) fn is_due(&self, now: Uptime) -> bool {
+        self.due <= now
     }
 
     /// Tokens to have in hand beyond those for the requests that wait.
--- a/components/limiter/src/shares.rs
+++ b/components/limiter/src/shares.rs
@@ -12,7 +12,7 @@
     LimiterPlugin { name: "shares", build: |context| Box::new(Shares::new(context)) }
 }
 
-/// All accounts are visited this often; between, only those that something happened to.
+/// The accounts that are due are visited this often; between, those that something happened to.
 const VISIT_EVERY: Duration = Duration::from_millis(15);
 
 /// Rate of an organisation that was removed while this VM still holds units of it.
@@ -114,18 +114,20 @@
         let mut actions = std::mem::take(&mut self.actions);
         if now >= self.visited + VISIT_EVERY {
             self.visited = now;
-            self.touched.clear();
-            for account in self.accounts.values_mut() {
-                account.poll(now, &mut self.next, &mut actions);
-            }
-            self.accounts.retain(|_, account| !account.is_idle(now));
-        } else {
-            let mut touched: Vec<OrganisationId> = self.touched.drain().collect();
-            touched.sort_unstable();
-            for organisation in touched {
-                if let Some(account) = self.accounts.get_mut(&organisation) {
+            self.accounts.retain(|organisation, account| {
+                if account.is_due(now) || self.touched.contains(organisation) {
                     account.poll(now, &mut self.next, &mut actions);
                 }
+                !account.is_idle(now)
+            });
+            self.touched.clear();
+            return actions;
+        }
+        let mut touched: Vec<OrganisationId> = self.touched.drain().collect();
+        touched.sort_unstable();
+        for organisation in touched {
+            if let Some(account) = self.accounts.get_mut(&organisation) {
+                account.poll(now, &mut self.next, &mut actions);
             }
         }
         actions
