Start no bucket full for units that a lost lease covered

Cause: a holder whose lease had ended finds its old entry in the row. A claim that added units never held before reported all of them as fresh, and the limiter, which had dropped the old ones, filled the bucket for all.

Change: a claim is fresh only if the other units in the row were in use by the holder; a bucket whose lease ever ended takes no units as fresh.

--- a/components/limiter/src/bucket.rs
+++ b/components/limiter/src/bucket.rs
@@ -29,6 +29,9 @@
     /// holder can be valid any more.
     coming: Vec<(Uptime, u32)>,
     until: Uptime,
+    /// Whether a lease ever ended here. From then on no units count as fresh, since those that the
+    /// lease covered may be among them.
+    lapsed: bool,
     level: f64,
     reserved: f64,
     /// Time up to which the bucket is filled.
@@ -46,6 +49,7 @@
             units: 0,
             coming: Vec::new(),
             until: Uptime::ZERO,
+            lapsed: false,
             level: 0.0,
             reserved: 0.0,
             at: Uptime::ZERO,
@@ -111,6 +115,7 @@
     }
 
     fn drop_units(&mut self) {
+        self.lapsed |= self.held() > 0;
         self.units = 0;
         self.coming.clear();
         self.clamp();
@@ -144,7 +149,7 @@
         }
         self.total = total.max(1);
         let held = self.held();
-        if units > held && fresh {
+        if units > held && fresh && !self.lapsed {
             self.units += units - held;
             self.level += self.rate.burst * self.share(units - held);
         } else if units > held {
--- a/components/rights/src/holder.rs
+++ b/components/rights/src/holder.rs
@@ -19,7 +19,8 @@
     pub total: u32,
     /// End of the lease by the own clock. The units must not be used from then on.
     pub until: Uptime,
-    /// Whether the units that this claim added were never held before.
+    /// Whether the units that this claim added were never held before, and the others were in use
+    /// by this holder already.
     pub fresh: bool,
 }
 
@@ -140,6 +141,7 @@
         let name: Name = (kind.into(), id.into());
         let me = self.session.incarnation();
         self.owed.remove(&name);
+        let known = self.held.get(&name).map_or(0, |held| held.0);
         // Units and freshness of a claim of this call whose reply was lost.
         let mut lost: Option<(u32, bool)> = None;
         for _ in 0..TRIES {
@@ -148,10 +150,12 @@
             row.total = total;
             let (pruned, mut checks) = self.prune(&row, want.min(max)).await?;
             let claimed = pruned.claim(me, want, max)?;
+            // Units in the row that are not in use here come back from a lost lease or release.
+            let fresh = claimed.fresh && row.units_of(me) == known;
             let doubtful = self.doubt.get(&key) == Some(&version);
             if claimed.units == row.units_of(me) && !doubtful {
-                let fresh = lost == Some((claimed.units, true));
-                return self.accept(name, &key, claimed.units, total, fresh);
+                let applied = lost == Some((claimed.units, true));
+                return self.accept(name, &key, claimed.units, total, applied);
             }
             checks.push((session_key(me), self.session.version()));
             match self.write_row(&key, version, &claimed.row, checks).await? {
@@ -159,9 +163,9 @@
                     for entry in row.entries.iter().filter(|e| pruned.units_of(e.holder) == 0) {
                         self.observer.forget(entry.holder);
                     }
-                    return self.accept(name, &key, claimed.units, total, claimed.fresh);
+                    return self.accept(name, &key, claimed.units, total, fresh);
                 }
-                Written::Maybe => lost = Some((claimed.units, claimed.fresh)),
+                Written::Maybe => lost = Some((claimed.units, fresh)),
                 Written::No => {}
             }
         }
--- a/components/rights/tests/holder.rs
+++ b/components/rights/tests/holder.rs
@@ -45,6 +45,20 @@
     assert_eq!(claim(&mut b, 3), Ok((3, false)));
 }
 
+/// Guards against a full bucket for units that a lost lease had left in the row.
+#[test]
+fn units_kept_through_a_lost_lease_are_not_fresh() {
+    let table = Arc::new(FakeTable::default());
+    let mut a = holder(&table, 1);
+    block_on(a.renew()).unwrap();
+    assert_eq!(claim(&mut a, 3), Ok((3, true)));
+    table.sleep(LEASE * 2);
+    assert_eq!(claim(&mut a, 4), Err(SessionError::Lapsed.into()));
+    assert!(block_on(a.renew()).unwrap().lapsed);
+    assert_eq!(claim(&mut a, 4), Ok((4, false)));
+    assert_eq!(claim(&mut a, 5), Ok((5, true)));
+}
+
 /// Guards against taking the units of a holder whose lease may still run.
 #[test]
 fn units_of_a_silent_holder_are_free_after_a_whole_lease_and_a_margin() {
