Forget dead VMs that the platform's list no longer has

Cause: dead VMs count as known for 4 h, so that the rest of a fleet of which more than half was removed could accept no operator's change. A VM that has been dead for 15 minutes, longer than the list can lag, and is missing in a list that is not empty is taken for removed. An incarnation that left and is listed as live is pinged, so that two sides that removed each other meet again.

--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use kernel::{Incarnation, Uptime, Version, VmEntry, VmId, VmState};
@@ -28,6 +28,8 @@
 /// Time that dead VMs and those that left are remembered: longer than the list of the platform
 /// lags, and as long as the longest outage of the store.
 const REMEMBER: Duration = Duration::from_secs(4 * 3600);
+/// Longest time that the list of the platform lags.
+const LIST_LAG: Duration = Duration::from_secs(15 * 60);
 /// Most entries of the list that wait for a first answer.
 const MOST_CANDIDATES: usize = 128;
 
@@ -100,26 +102,35 @@
     /// Takes over the platform's list, which may be minutes old.
     ///
     /// Entries unknown so far become members at once while no other VM has been heard, and
-    /// otherwise when they answer. A missing entry means nothing.
+    /// otherwise when they answer. A missing entry never kills; a VM that has been dead for longer
+    /// than the list can lag and is missing was removed, and no longer counts as known.
     pub fn seed(&mut self, now: Uptime, list: &[VmEntry]) -> Vec<MembershipAction> {
         let alone = self.members.values().all(|m| m.heard.is_none());
         let mut actions = Vec::new();
+        let removed = |m: &&Member| m.status == Status::Dead && m.changed + LIST_LAG < now;
+        let mut removed: BTreeSet<Incarnation> =
+            self.members.values().filter(removed).map(|m| m.entry.incarnation).collect();
+        for entry in list {
+            removed.remove(&entry.incarnation);
+        }
+        // An empty list tells of no removal but of a service that has lost its state.
+        for incarnation in removed.into_iter().filter(|_| !list.is_empty()) {
+            self.mark_left(now, incarnation, &mut actions);
+        }
         for entry in list {
             let incarnation = entry.incarnation;
-            if incarnation == self.own.incarnation || self.buried.contains_key(&incarnation) {
-                continue;
-            }
-            if self.members.contains_key(&incarnation) {
-                if entry.state == VmState::Leaving {
-                    self.mark_left(now, incarnation, &mut actions);
-                }
+            let status = self.status(incarnation);
+            if entry.state == VmState::Leaving {
+                self.mark_left(now, incarnation, &mut actions);
                 continue;
             }
-            if entry.state == VmState::Leaving || entry.vm == self.own.vm {
+            let known = status.is_some_and(|s| s < Status::Left);
+            if known || incarnation == self.own.incarnation || entry.vm == self.own.vm {
                 continue;
             }
             let waits = self.candidates.iter().any(|c| c.incarnation == incarnation);
-            if alone && !self.names.contains_key(&entry.vm) {
+            // One that left is pinged, too: it may have been removed from the list by mistake.
+            if alone && status.is_none() && !self.names.contains_key(&entry.vm) {
                 self.add(now, entry.clone(), 0, None, &mut actions);
             } else if !waits && self.candidates.len() < MOST_CANDIDATES {
                 self.candidates.push(entry.clone());
--- a/components/membership/src/view.rs
+++ b/components/membership/src/view.rs
@@ -22,7 +22,7 @@
 
     /// What is known of an incarnation; none if it is unknown.
     pub fn status(&self, incarnation: Incarnation) -> Option<Status> {
-        let buried = self.buried.contains_key(&incarnation).then_some(Status::Dead);
+        let buried = self.buried.get(&incarnation).map(|b| b.status);
         self.members.get(&incarnation).map(|m| m.status).or(buried)
     }
 
--- a/components/membership/tests/membership/detection.rs
+++ b/components/membership/tests/membership/detection.rs
@@ -131,3 +131,21 @@
     fleet.pass(4_000);
     assert_eq!(fleet.wrong(), []);
 }
+
+/// Guards against VMs that were removed for good and keep the rest from a majority for hours.
+#[test]
+fn removed_vms_are_forgotten() {
+    let mut fleet = Fleet::new(12, 6);
+    fleet.pass(2_000);
+    (4..12).for_each(|i| fleet.vms[i].running = false);
+    let known = |f: &Fleet| f.vms[0].detector.heard_within(f.uptime(0), Duration::from_secs(3));
+    fleet.pass(10_000);
+    let list = fleet.list();
+    fleet.seed(0, &list);
+    assert_eq!(known(&fleet), (4, 12), "the list may lag");
+    fleet.pass(16 * 60_000);
+    fleet.seed(0, &[]);
+    assert_eq!(known(&fleet), (4, 12), "an empty list means nothing");
+    fleet.seed(0, &list);
+    assert_eq!(known(&fleet), (4, 4));
+}
