Forget how slowly requests started a while ago

Cause: the mean time between starts was kept for ever. After a brown-out it made the queue refuse what would wait behind a single request, and without a backlog it was never measured again; a new test failed with it. A further new test covers route weights.

--- a/components/queue/src/fair.rs
+++ b/components/queue/src/fair.rs
@@ -154,7 +154,7 @@
     /// Time until a request behind `ahead` others of its organisation starts, in seconds.
     fn wait(&self, now: Uptime, key: OrganisationKey, ahead: usize, slots: u32) -> f64 {
         let organisation = &self.organisations[key];
-        if let Some(wait) = organisation.measured_wait(ahead) {
+        if let Some(wait) = organisation.measured_wait(now, ahead) {
             return wait;
         }
         let own = if organisation.len() > 0 { 0.0 } else { organisation.share };
--- a/components/queue/src/organisation.rs
+++ b/components/queue/src/organisation.rs
@@ -11,6 +11,9 @@
 /// Weight of a new interval between two starts.
 const INTERVAL_GAIN: f64 = 1.0 / 32.0;
 
+/// Time after the last start from a backlog in which the mean interval holds.
+const INTERVAL_FRESH: Duration = Duration::from_secs(1);
+
 /// Part of the time left to the last request that the first one must have, where that is less than
 /// what nearly all answers need.
 const MOST_LEFT: f64 = 0.9;
@@ -49,8 +52,9 @@
     pub refused: Option<Uptime>,
     /// Start of its last request; none if nothing waits behind it.
     popped: Option<Uptime>,
-    /// Mean time between two starts while requests wait, in seconds; none before the first two.
-    interval: Option<f64>,
+    /// Mean time between two starts while requests wait, in seconds, and when it was measured;
+    /// none before the first two.
+    interval: Option<(f64, Uptime)>,
     classes: Vec<Class>,
     /// Virtual time of the classes: that of the class served last.
     class_virt: f64,
@@ -108,16 +112,20 @@
     }
 
     /// Time until `ahead` waiting requests have started, in seconds, as they did lately.
-    pub fn measured_wait(&self, ahead: usize) -> Option<f64> {
-        self.interval.map(|interval| interval * ahead as f64)
+    ///
+    /// None after a while without starts from a backlog: an old interval that made the queue
+    /// refuse every request would never be measured again.
+    pub fn measured_wait(&self, now: Uptime, ahead: usize) -> Option<f64> {
+        let fresh = |(_, at): &(f64, Uptime)| now <= *at + INTERVAL_FRESH;
+        self.interval.filter(fresh).map(|(interval, _)| interval * ahead as f64)
     }
 
     /// Takes out the next request; `cost` is its estimated slot time in seconds.
     pub fn pop(&mut self, now: Uptime, cost: f64) -> Option<TicketId> {
         if let Some(popped) = self.popped {
             let interval = now.saturating_sub(popped).as_secs_f64();
-            let mean = self.interval.unwrap_or(interval);
-            self.interval = Some(mean + INTERVAL_GAIN * (interval - mean));
+            let mean = self.measured_wait(now, 1).unwrap_or(interval);
+            self.interval = Some((mean + INTERVAL_GAIN * (interval - mean), now));
         }
         self.popped = (self.len > 1).then_some(now);
         self.take(cost)
--- a/components/queue/tests/queue/fair.rs
+++ b/components/queue/tests/queue/fair.rs
@@ -121,3 +121,34 @@
     let later = now + MS * 5000;
     queue.push(later, ticket(2, "a", later + MS * 1000), 4).expect("the estimate has faded");
 }
+
+/// Guards against judging the wait by starts of an earlier, slower time. What is refused for it
+/// could never start and prove it wrong.
+#[test]
+fn slow_starts_are_forgotten() {
+    let (mut queue, mut now) = warm();
+    for id in 0..40 {
+        queue.push(now, ticket(id, "a", now + MS * 600_000), 4).expect("room");
+    }
+    while queue.pop(now).is_some() {
+        now += MS * 1000;
+        queue.finished(now, "a", MS * 50);
+    }
+    now += MS * 3000;
+    for id in 100..103 {
+        queue.push(now, ticket(id, "a", now + MS * 500), 4).expect("slots are free again");
+    }
+}
+
+/// Guards against routes of an organisation that are not served by their weights.
+#[test]
+fn route_weights_divide_an_organisation() {
+    let (mut queue, now) = warm();
+    for id in 0..400 {
+        let weight = if id % 2 == 0 { 3.0 } else { 1.0 };
+        let t = Ticket { weight, ..ticket(id, "a", now + MS * 600_000) };
+        queue.push(now, t, 4).expect("room");
+    }
+    let heavy = (0..100).filter_map(|_| queue.pop(now)).filter(|id| id % 2 == 0).count();
+    assert!((74..=76).contains(&heavy), "{heavy}");
+}
