--- a/tools/measure/src/experiments/fairness.rs
+++ b/tools/measure/src/experiments/fairness.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::ops::Range;
 use std::time::Duration;
 
 use kernel::{Place, Queue, ServiceContext, Ticket, Uptime, build_queue};
@@ -21,6 +22,9 @@
 /// End of the counted time.
 const END: Duration = Duration::from_secs(65);
 
+/// Time in which most slots are away in some cases.
+const DIP: Range<Duration> = Duration::from_secs(20)..Duration::from_secs(30);
+
 /// What a run varies.
 struct Case {
     name: &'static str,
@@ -32,9 +36,23 @@
     allowed: Duration,
     /// Service time of the first organisation's requests over that of the others.
     slowness: f64,
+    /// Whether only a quarter of the slots is there during `DIP`; then only what comes after it
+    /// counts.
+    dip: bool,
     target: Option<(Bound, f64)>,
 }
 
+impl Case {
+    fn slots_at(&self, now: Uptime) -> u32 {
+        if self.dip && DIP.contains(&now) { self.slots / 4 } else { self.slots }
+    }
+
+    /// Start of the counted time.
+    fn start(&self) -> Uptime {
+        if self.dip { DIP.end + self.allowed } else { WARM }
+    }
+}
+
 const TARGET: Option<(Bound, f64)> = Some((Bound::AtLeast, 0.95));
 
 const CASES: &[Case] = &[
@@ -44,6 +62,7 @@
         load: 0.9,
         allowed: Duration::from_secs(1),
         slowness: 1.0,
+        dip: false,
         target: TARGET,
     },
     Case {
@@ -52,6 +71,7 @@
         load: 0.9,
         allowed: Duration::from_secs(1),
         slowness: 1.0,
+        dip: false,
         target: TARGET,
     },
     Case {
@@ -60,6 +80,7 @@
         load: 0.5,
         allowed: Duration::from_secs(1),
         slowness: 1.0,
+        dip: false,
         target: TARGET,
     },
     Case {
@@ -68,14 +89,25 @@
         load: 0.9,
         allowed: Duration::from_secs(1),
         slowness: 4.0,
+        dip: false,
         target: None,
     },
+    Case {
+        name: "20 slots, 1 s, after a dip",
+        slots: 20,
+        load: 0.9,
+        allowed: Duration::from_secs(1),
+        slowness: 1.0,
+        dip: true,
+        target: TARGET,
+    },
     Case {
         name: "20 slots, 3 s",
         slots: 20,
         load: 0.9,
         allowed: Duration::from_secs(3),
         slowness: 1.0,
+        dip: false,
         target: TARGET,
     },
     Case {
@@ -84,6 +116,7 @@
         load: 0.9,
         allowed: Duration::from_millis(200),
         slowness: 1.0,
+        dip: false,
         target: None,
     },
     Case {
@@ -92,6 +125,7 @@
         load: 0.9,
         allowed: Duration::from_millis(400),
         slowness: 1.0,
+        dip: false,
         target: None,
     },
 ];
@@ -145,7 +179,7 @@
 impl Home<'_> {
     fn fill(&mut self, now: Uptime) {
         self.queue.expire(now);
-        while self.running.len() < self.case.slots as usize
+        while self.running.len() < self.case.slots_at(now) as usize
             && let Some(id) = self.queue.pop(now)
         {
             let at = id as usize;
@@ -162,7 +196,7 @@
             self.running.pop();
             let r = &self.requests[at];
             self.queue.finished(end, &r.organisation.to_string(), r.takes);
-            if r.at >= WARM {
+            if r.at >= self.case.start() {
                 let in_time = end <= r.at + self.case.allowed;
                 let service = &mut self.services[r.organisation];
                 let used = if in_time { &mut service.served } else { &mut service.wasted };
@@ -175,7 +209,7 @@
     fn run(&mut self) {
         for (at, r) in self.requests.iter().enumerate() {
             self.finish(r.at);
-            if r.at >= WARM {
+            if r.at >= self.case.start() {
                 self.services[r.organisation].demand += r.takes.as_secs_f64();
             }
             let ticket = Ticket {
@@ -186,7 +220,7 @@
                 deadline: r.at + self.case.allowed,
             };
             // A refusal is counted by what is not served.
-            let _ = self.queue.push(r.at, ticket, self.case.slots);
+            let _ = self.queue.push(r.at, ticket, self.case.slots_at(r.at));
             self.fill(r.at);
         }
         self.finish(END + self.case.allowed);
@@ -202,7 +236,7 @@
     let running = BinaryHeap::new();
     let mut home = Home { case, queue, requests, running, services: Default::default() };
     home.run();
-    let capacity = f64::from(case.slots) * (END - WARM).as_secs_f64();
+    let capacity = f64::from(case.slots) * (END - case.start()).as_secs_f64();
     let demands: Vec<_> = home.services.iter().map(|s| (s.demand, 1.0)).collect();
     let parts = max_min(&demands, capacity);
     let served = home.services.iter().zip(&parts).map(|(s, part)| s.served / part).collect();
