Send no age of the configuration before the first confirmation

Cause: a VM that had never read the configuration sent the time since its start as the age of its last confirmation, which a peer could take for fresh. The age is now absent.

--- a/components/membership/src/compose.rs
+++ b/components/membership/src/compose.rs
@@ -63,7 +63,7 @@
             address: self.own.peers,
             unknown: !self.members.contains_key(&to),
             version: self.version,
-            freshness: now.saturating_sub(self.confirmed),
+            freshness: self.confirmed.map(|at| now.saturating_sub(at)),
             updates,
         })
     }
--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -63,7 +63,8 @@
     /// Entries of the platform's list that have not answered yet.
     candidates: Vec<VmEntry>,
     pub(crate) version: Version,
-    pub(crate) confirmed: Uptime,
+    /// Last confirmation that no newer version exists; none before the first.
+    pub(crate) confirmed: Option<Uptime>,
     next: Uptime,
     last: Uptime,
     rounds: u64,
@@ -85,7 +86,7 @@
             ring: Vec::new(),
             candidates: Vec::new(),
             version: 0,
-            confirmed: Uptime::ZERO,
+            confirmed: None,
             next: now,
             last: now,
             rounds: 0,
@@ -96,7 +97,7 @@
     /// confirmation that no newer one exists.
     pub fn set_configuration(&mut self, version: Version, confirmed: Uptime) {
         self.version = version;
-        self.confirmed = confirmed;
+        self.confirmed = Some(confirmed);
     }
 
     /// Takes over the platform's list, which may be minutes old.
--- a/components/membership/src/message.rs
+++ b/components/membership/src/message.rs
@@ -105,8 +105,8 @@
     pub unknown: bool,
     /// Configuration version of the sender.
     pub version: Version,
-    /// How long ago the sender had confirmation that no newer version exists.
-    pub freshness: Duration,
+    /// How long ago the sender had confirmation that no newer version exists; none if it never had.
+    pub freshness: Option<Duration>,
     /// Statements about VMs, bounded in number and bytes.
     pub updates: Vec<Update>,
 }
--- a/components/membership/tests/membership/detection.rs
+++ b/components/membership/tests/membership/detection.rs
@@ -1,7 +1,9 @@
 use std::time::Duration;
 
 use kernel::VmState;
-use membership::MembershipAction;
+use membership::{Membership, MembershipAction};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
 use crate::fleet::Fleet;
 
@@ -149,3 +151,23 @@
     fleet.seed(0, &list);
     assert_eq!(known(&fleet), (4, 4));
 }
+
+/// Guards against a VM without any configuration that claims to know the newest one, and against
+/// an age that stands still.
+#[test]
+fn messages_carry_the_age_of_the_configuration() {
+    let mut fleet = Fleet::new(2, 7);
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut ping = |detector: &mut Membership, ms: u64| {
+        let actions = detector.tick(Duration::from_millis(ms), &mut rng);
+        let sent = actions.into_iter().find_map(|a| match a {
+            MembershipAction::Send { message, .. } => Some((message.version, message.freshness)),
+            _ => None,
+        });
+        sent.expect("a ping is due")
+    };
+    let detector = &mut fleet.vms[0].detector;
+    assert_eq!(ping(detector, 400), (0, None));
+    detector.set_configuration(9, Duration::from_millis(500));
+    assert_eq!(ping(detector, 800), (9, Some(Duration::from_millis(300))));
+}
