--- a/components/membership/src/message.rs
+++ b/components/membership/src/message.rs
@@ -105,8 +105,8 @@
     pub unknown: bool,
     /// Configuration version of the sender.
     pub version: Version,
-    /// How long ago the sender had confirmation that no newer version exists.
-    pub freshness: Duration,
+    /// How long ago the sender had confirmation that no newer version exists; none if it never had.
+    pub freshness: Option<Duration>,
     /// Time since the start of the sender's process, in milliseconds.
     #[serde(default)]
     pub up_ms: u64,
--- a/components/membership/tests/membership/detection.rs
+++ b/components/membership/tests/membership/detection.rs
@@ -1,7 +1,9 @@
 use std::time::Duration;
 
 use kernel::VmState;
-use membership::MembershipAction;
+use membership::{Membership, MembershipAction};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
 use crate::fleet::Fleet;
 
@@ -131,3 +133,41 @@
     fleet.pass(4_000);
     assert_eq!(fleet.wrong(), []);
 }
+
+/// Guards against VMs that were removed for good and keep the rest from a majority for hours.
+#[test]
+fn removed_vms_are_forgotten() {
+    let mut fleet = Fleet::new(12, 6);
+    fleet.pass(2_000);
+    (4..12).for_each(|i| fleet.vms[i].running = false);
+    let known = |f: &Fleet| f.vms[0].detector.heard_within(f.uptime(0), Duration::from_secs(3));
+    fleet.pass(10_000);
+    let list = fleet.list();
+    fleet.seed(0, &list);
+    assert_eq!(known(&fleet), (4, 12), "the list may lag");
+    fleet.pass(16 * 60_000);
+    fleet.seed(0, &[]);
+    assert_eq!(known(&fleet), (4, 12), "an empty list means nothing");
+    fleet.seed(0, &list);
+    assert_eq!(known(&fleet), (4, 4));
+}
+
+/// Guards against a VM without any configuration that claims to know the newest one, and against
+/// an age that stands still.
+#[test]
+fn messages_carry_the_age_of_the_configuration() {
+    let mut fleet = Fleet::new(2, 7);
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut ping = |detector: &mut Membership, ms: u64| {
+        let actions = detector.tick(Duration::from_millis(ms), &mut rng);
+        let sent = actions.into_iter().find_map(|a| match a {
+            MembershipAction::Send { message, .. } => Some((message.version, message.freshness)),
+            _ => None,
+        });
+        sent.expect("a ping is due")
+    };
+    let detector = &mut fleet.vms[0].detector;
+    assert_eq!(ping(detector, 400), (0, None));
+    detector.set_configuration(9, Duration::from_millis(500));
+    assert_eq!(ping(detector, 800), (9, Some(Duration::from_millis(300))));
+}
--- a/components/node/src/handler.rs
+++ b/components/node/src/handler.rs
@@ -20,7 +20,7 @@
                 let actions =
                     shared.random.with(|rng| shared.membership().receive(now, from, message, rng));
                 shared.act_membership(actions);
-                shared.hear_version(version, Some(freshness), address);
+                shared.hear_version(version, freshness, address);
             }
             Message::Limiter(message) => {
                 let actions = {
--- /dev/null
+++ b/tools/measure/src/experiments/cost.rs
@@ -0,0 +1,265 @@
+//! What control costs a VM: memory, processor time and bytes a second.
+
+use std::hint::black_box;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use config::{Change, Delta};
+use config::{FleetConfig, Key, KeyDigest, Lookup, Organisation, Route, Service, replay};
+use kernel::prelude::*;
+use kernel::{BackendLimits, VmContext, VmEntry, VmState, build_limiter};
+use membership::{Membership, MembershipAction, MembershipMessage, MessageKind};
+use peers::{Message, Parcel};
+use rand::rngs::SmallRng;
+use rand::{RngCore, SeedableRng};
+
+use crate::Options;
+use crate::figure::{Bound, Figure};
+
+/// Memory of control at the design size.
+const TARGET_MB: f64 = 128.0;
+/// Processor time of control, in percent of a core.
+const TARGET_CORE: f64 = 2.5;
+/// Bytes of control a second.
+const TARGET_KB: f64 = 16.0;
+/// Frame and envelope of a tarpc call and its answer, in bytes, as sent.
+const ENVELOPE: usize = 260;
+/// Configuration changes of a day at the design size.
+const CHANGES_A_DAY: f64 = 11_000.0;
+
+/// Measures the slopes; the design size is computed from them.
+pub fn run(options: &Options) -> anyhow::Result<Vec<Figure>> {
+    let mut figures = memory()?;
+    figures.extend(requests(options)?);
+    figures.extend(gossip(options)?);
+    Ok(figures)
+}
+
+/// Resident memory of this process in MB.
+fn resident() -> anyhow::Result<f64> {
+    /// Bytes of a page of memory.
+    const PAGE: f64 = 4096.0;
+    let text = std::fs::read_to_string("/proc/self/statm").context("no memory figures")?;
+    let pages = text.split_whitespace().nth(1).context("no resident size")?;
+    Ok(pages.parse::<f64>()? * PAGE / 1e6)
+}
+
+fn organisation_id(i: usize) -> OrganisationId {
+    format!("organisation-{i:06}").into()
+}
+
+fn config_of(organisations: usize, routes: usize, services: usize, each: usize) -> FleetConfig {
+    let mut config = FleetConfig { version: 1, ..FleetConfig::default() };
+    for i in 0..organisations {
+        let rate = Rate { per_second: 10.0, burst: 20.0 };
+        let organisation = Organisation { rate, weight: 1.0 };
+        config.organisations.insert(organisation_id(i), organisation);
+        let mut digest = [0; 32];
+        digest[..8].copy_from_slice(&(i as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15).to_be_bytes());
+        let key = Key { organisation: organisation_id(i), withdrawn: false };
+        config.keys.insert(KeyDigest::from_bytes(digest), key);
+    }
+    for s in 0..services {
+        let backends = (0..each).map(|b| BackendSpec {
+            id: format!("backend-{b:03}").into(),
+            address: SocketAddr::from((Ipv4Addr::new(127, 1, 1, 1), 9000)),
+            place: Place { region: "norrland".into(), domain: "umea-a".into() },
+            limits: BackendLimits { slots: 4, connections: 400 },
+            draining: false,
+        });
+        let service = Service { floor: 0.6, backends: backends.collect() };
+        config.services.insert(format!("service-{s:04}").into(), service);
+    }
+    for r in 0..routes {
+        let route = Route {
+            prefix: format!("/service-{:04}/part-{r:05}", r % services.max(1)).into(),
+            methods: Vec::new(),
+            service: format!("service-{:04}", r % services.max(1)).into(),
+            open: false,
+            idempotent: true,
+            weight: 1.0,
+            deadline: Duration::from_secs(3),
+            organisations: Vec::new(),
+        };
+        config.routes.insert(format!("route-{r:05}").into(), route);
+    }
+    config
+}
+
+/// Memory of the configuration and of the limiter at the design size, all in one process.
+fn memory() -> anyhow::Result<Vec<Figure>> {
+    let mut figures = Vec::new();
+    let mut push = |name: &str, unit, target, value| {
+        let mut figure = Figure::new(name, unit, target);
+        figure.chosen.push(value);
+        figures.push(figure);
+    };
+    let start = resident()?;
+    let config = Arc::new(config_of(480_000, 0, 0, 0));
+    let organisations = resident()?;
+    push("an organisation with one key", "bytes", None, (organisations - start) * 1e6 / 480e3);
+    let rest = config_of(0, 54_000, 1_800, 46);
+    let routes = resident()?;
+    push(
+        "54,000 routes, 1,800 services, 84,000 backend servers",
+        "MB",
+        None,
+        routes - organisations,
+    );
+    let config = Arc::new(FleetConfig {
+        routes: rest.routes,
+        services: rest.services,
+        ..Arc::unwrap_or_clone(config)
+    });
+    let lookup = Lookup::new(Arc::clone(&config));
+    let indexed = resident()?;
+    push("indexes of the routes", "MB", None, indexed - routes);
+    let context = VmContext { incarnation: 1, vms: 5_800 };
+    let mut limiter = build_limiter("shares", &context)?;
+    for (id, organisation) in &config.organisations {
+        limiter.set_rate(Duration::ZERO, id, Some(organisation.rate));
+    }
+    let limited = resident()?;
+    push("limiter with 480,000 rates", "MB", None, limited - indexed);
+    let bound = Some((Bound::AtMost, TARGET_MB));
+    push("configuration and limiter at the design size", "MB", bound, limited - start);
+
+    let began = Instant::now();
+    let changed = changed(&config)?;
+    let clone = began.elapsed();
+    let began = Instant::now();
+    black_box(Lookup::new(Arc::new(changed)));
+    let index = began.elapsed();
+    push("one change at the design size, copy and apply", "ms", None, clone.as_secs_f64() * 1e3);
+    push("one change at the design size, indexes", "ms", None, index.as_secs_f64() * 1e3);
+    let share = (clone + index).as_secs_f64() * CHANGES_A_DAY / 86_400.0 * 100.0;
+    push("11,000 changes a day", "% core", Some((Bound::AtMost, TARGET_CORE)), share);
+    black_box(lookup);
+    Ok(figures)
+}
+
+fn changed(config: &FleetConfig) -> anyhow::Result<FleetConfig> {
+    let organisation = Organisation { rate: Rate { per_second: 5.0, burst: 5.0 }, weight: 1.0 };
+    let change = Change::PutOrganisation { id: organisation_id(7), organisation };
+    let delta =
+        Delta { version: config.version + 1, change_id: "cost".into(), changes: vec![change] };
+    let mut next = config.clone();
+    anyhow::ensure!(replay(&mut next, &delta), "the change does not follow");
+    Ok(next)
+}
+
+/// Processor time of the checks of one request.
+fn requests(options: &Options) -> anyhow::Result<Vec<Figure>> {
+    const COUNT: u32 = 200_000;
+    let config = Arc::new(config_of(10_000, 5_000, 100, 10));
+    let lookup = Lookup::new(Arc::clone(&config));
+    let mut rng = SmallRng::seed_from_u64(options.seed);
+    let began = Instant::now();
+    for _ in 0..COUNT {
+        let route = rng.next_u32() % 5_000;
+        let path = format!("/service-{:04}/part-{route:05}/item", route % 100);
+        if let Some(found) = lookup.route("GET", &path) {
+            black_box(lookup.access(found.route, Some(b"a key that is not known")));
+        }
+    }
+    let mut figure = Figure::new("route and key of one request", "us", None);
+    figure.chosen.push(began.elapsed().as_secs_f64() * 1e6 / f64::from(COUNT));
+    Ok(vec![figure])
+}
+
+fn entry(i: u64) -> VmEntry {
+    let host = Ipv4Addr::from(0x7F01_0000 + i as u32);
+    VmEntry {
+        vm: format!("vm-{i}").into(),
+        incarnation: i + 1,
+        place: Place { region: "norrland".into(), domain: "umea-a".into() },
+        callers: SocketAddr::from((host, 8001)),
+        peers: SocketAddr::from((host, 8002)),
+        state: VmState::Live,
+    }
+}
+
+/// One real failure detector against fake VMs that answer every message.
+fn gossip(options: &Options) -> anyhow::Result<Vec<Figure>> {
+    let mut figures = Vec::new();
+    for vms in [8_u64, 40, 200, 400] {
+        let mut bytes = Figure::new(format!("failure detector, {vms} VMs"), "KB/s", bound_kb());
+        let mut core = Figure::new(
+            format!("failure detector, {vms} VMs"),
+            "% core",
+            Some((Bound::AtMost, TARGET_CORE)),
+        );
+        for run in 0..options.runs.min(3) {
+            let (kb, percent) = gossip_once(vms, options.seed + run)?;
+            bytes.chosen.push(kb);
+            core.chosen.push(percent);
+        }
+        figures.extend([bytes, core]);
+    }
+    Ok(figures)
+}
+
+fn bound_kb() -> Option<(Bound, f64)> {
+    Some((Bound::AtMost, TARGET_KB))
+}
+
+fn gossip_once(vms: u64, seed: u64) -> anyhow::Result<(f64, f64)> {
+    const TICK: Duration = Duration::from_millis(50);
+    const TIME: Duration = Duration::from_secs(30);
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut real = Membership::new(Duration::ZERO, entry(0));
+    let list: Vec<VmEntry> = (0..vms).map(entry).collect();
+    let mut inbox: Vec<(u64, MembershipMessage)> = Vec::new();
+    let mut sent = 0;
+    let mut now = Duration::ZERO;
+    let mut seq = 0;
+    let mut busy = Duration::ZERO;
+    real.seed(now, &list);
+    while now < TIME {
+        // Every VM pings two others a period, so that this one gets two on average.
+        if now.as_millis().is_multiple_of(membership::PERIOD.as_millis()) {
+            for _ in 0..membership::PINGS {
+                seq += 1;
+                let from = 1 + rng.next_u64() % (vms - 1);
+                inbox.push((from, fake(from, MessageKind::Ping { to: 1 }, seq, now)));
+            }
+        }
+        let began = Instant::now();
+        let mut actions = real.tick(now, &mut rng);
+        for (from, message) in inbox.drain(..) {
+            actions.extend(real.receive(now, from + 1, message, &mut rng));
+        }
+        let mut out = Vec::new();
+        for action in actions {
+            if let MembershipAction::Send { to, message } = action {
+                let parcel = Parcel::new(1, [&Message::Membership((*message).clone())]);
+                sent += serde_json::to_vec(&parcel)?.len() + ENVELOPE;
+                out.push((to.incarnation - 1, message));
+            }
+        }
+        busy += began.elapsed();
+        for (vm, message) in out {
+            if let MessageKind::Ping { .. } = message.kind {
+                inbox.push((vm, fake(vm, MessageKind::Ack, message.seq, now)));
+            }
+        }
+        now += TICK;
+    }
+    let seconds = TIME.as_secs_f64();
+    Ok((sent as f64 / 1e3 / seconds, busy.as_secs_f64() / seconds * 100.0))
+}
+
+fn fake(vm: u64, kind: MessageKind, seq: u64, now: Duration) -> MembershipMessage {
+    MembershipMessage {
+        kind,
+        seq,
+        address: entry(vm).peers,
+        unknown: false,
+        version: 1,
+        freshness: Some(Duration::ZERO),
+        up_ms: now.as_millis() as u64,
+        updates: Vec::new(),
+    }
+}
--- a/tools/measure/src/experiments/mod.rs
+++ b/tools/measure/src/experiments/mod.rs
@@ -1,5 +1,6 @@
 //! One file for each experiment.
 
+mod cost;
 mod detection;
 mod ejections;
 mod fairness;
@@ -21,6 +22,7 @@
 
 /// Every experiment.
 pub const ALL: &[Experiment] = &[
+    Experiment { name: "cost", run: cost::run },
     Experiment { name: "detection", run: detection::run },
     Experiment { name: "ejections", run: ejections::run },
     Experiment { name: "latency", run: latency::run },
