Finish claims whose sender goes away and refuse failed claims not-run

Two faults of requests with a key that the caller made. The claim was awaited in the task of the connection: when the sender went away in the middle, the key counted as being claimed for the whole retention and every resend waited until its deadline. And a failed claim was answered unknown with kind answer-lost, because the check compared with Full in place of Unclaimed.

The claim now runs in the same task as the request, which outlives the sender, and Unclaimed is refused not-run with kind store-unavailable. Its message no longer advises a new key for a request that was sent before.

--- a/components/proxy/src/executor.rs
+++ b/components/proxy/src/executor.rs
@@ -45,20 +45,13 @@
             // Registered before the table is asked, so that an end in between is not missed.
             let finished = self.finished.notified();
             let now = engine.fleet().now();
-            let mut begin = self.table().begin(now, &call.organisation, &key, &digest);
-            if let Begin::Claim { attempt } = begin {
-                let text = key.to_string();
-                let claimed = engine.fleet().claim(&call.organisation, &text, attempt).await;
-                let now = engine.fleet().now();
-                begin = self.table().claimed(now, &call.organisation, &key, claimed);
-                self.finished.notify_waiters();
-                if begin == Begin::Full {
-                    return Err(unclaimed());
-                }
-            }
+            let begin = self.table().begin(now, &call.organisation, &key, &digest);
             match begin {
-                Begin::Run => return start(engine, call, key).await.map(Routed::Answered),
-                Begin::Wait | Begin::Claim { .. } => {
+                Begin::Run => return start(engine, call, key, None).await.map(Routed::Answered),
+                Begin::Claim { attempt } => {
+                    return start(engine, call, key, Some(attempt)).await.map(Routed::Answered);
+                }
+                Begin::Wait => {
                     let left = call.left(now).map_err(|_| still_running())?;
                     if tokio::time::timeout(left, finished).await.is_err() {
                         return Err(still_running());
@@ -78,17 +71,30 @@
         .map_err(|error| Refusal::not_run(RefusalKind::IdempotencyKeyInvalid, error.to_string()))
 }
 
-/// Runs the request in a task of its own: it must end, and its answer be kept, also when the
-/// caller goes away meanwhile.
+/// Runs the request in a task of its own, after a claim if an attempt number is given: it must
+/// end, and its answer be kept, also when the caller goes away meanwhile.
 async fn start(
     engine: &Arc<Engine>,
     call: Call,
     key: IdempotencyKey,
+    claim: Option<u64>,
 ) -> Result<Response<Body>, Refusal> {
     let (reply, answered) = oneshot::channel();
     let engine = Arc::clone(engine);
     tokio::spawn(async move {
         let organisation = call.organisation.clone();
+        if let Some(attempt) = claim {
+            let text = key.to_string();
+            let claimed = engine.fleet().claim(&organisation, &text, attempt).await;
+            let executor = engine.executor();
+            let now = engine.fleet().now();
+            let begin = executor.table().claimed(now, &organisation, &key, claimed);
+            executor.finished.notify_waiters();
+            if begin != Begin::Run {
+                let _ = reply.send(Err(refuse(&begin)));
+                return;
+            }
+        }
         let result = engine.run_cleared(call).await;
         let (finish, result) = settle(result).await;
         let executor = engine.executor();
@@ -157,6 +163,7 @@
             "no room for a further idempotency key; retry in a minute",
         )
         .retry_after(Duration::from_secs(60)),
+        Begin::Unclaimed => unclaimed(),
         Begin::Expired => Refusal::unknown(
             RefusalKind::AnswerLost,
             "the idempotency key is too old; if the request was never sent, send it with a prefix \
@@ -173,7 +180,8 @@
 fn unclaimed() -> Refusal {
     Refusal::not_run(
         RefusalKind::StoreUnavailable,
-        "the idempotency key cannot be claimed now; use a prefix of an entry response, or retry",
+        "the idempotency key cannot be claimed now; retry with the same key or, only if the request \
+         was never sent before, send it with a prefix of an entry response",
     )
     .retry_after(Duration::from_secs(5))
 }
