Test keys with processes: secrecy, withdrawal and stale configurations

No test showed that a key stays on the VM it came to, or that a withdrawn key stops working on every VM. The new tests search what the backend servers received and the logs of all processes for the key, withdraw a key under open connections, and take the store and the peers away. Metrics are searched only if a VM serves them; today no VM listens on its admin address.

--- /dev/null
+++ b/tests/keys.rs
@@ -0,0 +1,166 @@
+//! Guards against keys that leave the VM they came to, withdrawn keys that go on working, and VMs
+//! that serve keyed routes without knowing whether their configuration is the newest.
+
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, ensure};
+use config::{Change, digest_key};
+use harness::{Caller, Fleet, KEY, Programs, Reply, SPARE_KEY, Verdict, http, sample_shape};
+use http::Method;
+use serde_json::json;
+use tokio::sync::Mutex;
+
+/// One fleet at a time, since each has several processes.
+static ONE: Mutex<()> = Mutex::const_new(());
+/// Generous limit for what has to come about.
+const LIMIT: Duration = Duration::from_secs(60);
+/// Time after which a withdrawn key may not work on any VM, and longest life of a configuration
+/// that nobody confirms.
+const IN_FORCE: Duration = Duration::from_secs(5);
+
+async fn start() -> anyhow::Result<Fleet> {
+    let programs = Programs::beside(env!("CARGO_BIN_EXE_papayareeld"))?;
+    let mut shape = sample_shape(4);
+    shape.settings["log"] = json!({"level": "trace"});
+    let fleet = Fleet::start(programs, shape).await?;
+    fleet.load_sample().await?;
+    Ok(fleet)
+}
+
+async fn send(caller: &mut Caller, key: &str, target: &str) -> anyhow::Result<(Reply, Verdict)> {
+    let headers = [("papayareel-key", key)];
+    let reply = caller.send(&Method::POST, target, &headers, "words").await?;
+    let verdict = Verdict::of(&reply, target, b"words");
+    ensure!(!matches!(verdict, Verdict::Wrong(_)), "{verdict:?}");
+    Ok((reply, verdict))
+}
+
+fn refused(verdict: &Verdict, due: &str) -> bool {
+    matches!(verdict, Verdict::Refused { kind, outcome } if kind == due && outcome == "not-run")
+}
+
+async fn platform(fleet: &Fleet, refuse: bool) -> anyhow::Result<()> {
+    let reply = fleet.control(fleet.platform_control(), json!({"refuse": refuse})).await?;
+    ensure!(reply.status == 200, "{reply:?}");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_key_never_leaves_the_vm_that_it_came_to() -> anyhow::Result<()> {
+    let _one = ONE.lock().await;
+    let fleet = start().await?;
+    let once = "made-by-the-caller";
+    for vm in 0..4 {
+        let mut caller = Caller::new(fleet.callers(vm));
+        for target in ["/manus/known-text", "/fri/known-text", "/sluten/known-text"] {
+            send(&mut caller, KEY, target).await?;
+        }
+        let headers = [("papayareel-key", KEY), ("idempotency-key", once)];
+        caller.send(&Method::POST, "/sandning/known-text", &headers, "words").await?;
+        // Refused requests are what is logged most likely.
+        send(&mut caller, &format!("{KEY}-unknown"), "/manus/known-text").await?;
+        let headers = [("papayareel-key", KEY), ("papayareel-deadline-ms", "soon")];
+        caller.send(&Method::POST, "/manus/known-text", &headers, "words").await?;
+        // A header that tries to make the next hop take the key for its own.
+        let headers = [("papayareel-key", KEY), ("connection", "papayareel-key, x-organisation")];
+        caller.send(&Method::POST, "/manus/known-text", &headers, "words").await?;
+        if let Ok(reply) = http(fleet.admin(vm), &Method::GET, "/metrics", &[], "").await {
+            let text = String::from_utf8_lossy(&reply.body).into_owned();
+            ensure!(!text.contains(KEY), "the metrics of VM {vm} have the key: {text}");
+        }
+    }
+    ensure!(fleet.received("known-text").await?, "the question to the backend servers is broken");
+    ensure!(!fleet.received(KEY).await?, "a backend server received the key");
+    ensure!(!fleet.received("papayareel-key").await?, "a backend server received the key's header");
+    for entry in std::fs::read_dir(fleet.dir())? {
+        let path = entry?.path();
+        let text = String::from_utf8_lossy(&std::fs::read(&path)?).into_owned();
+        ensure!(!text.contains(KEY), "{} has the key", path.display());
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_withdrawn_key_stops_working_on_every_vm() -> anyhow::Result<()> {
+    let _one = ONE.lock().await;
+    let fleet = start().await?;
+    let mut callers: Vec<Caller> = (0..4).map(|vm| Caller::new(fleet.callers(vm))).collect();
+    for caller in &mut callers {
+        let (_, verdict) = send(caller, SPARE_KEY, "/manus/before").await?;
+        ensure!(verdict == Verdict::Whole, "{verdict:?}");
+    }
+    let digest = digest_key(SPARE_KEY.as_bytes());
+    let mut client = fleet.operator(3).await?;
+    let base_version = client.config().await?.version;
+    let changes = vec![Change::WithdrawKey { digest }];
+    let set = config::ChangeSet { change_id: "withdraw-spare".into(), base_version, changes };
+    client.apply(&set).await?;
+    let accepted = Instant::now();
+    let mut late = 0;
+    // Three rounds on each open connection after the limit, and as many as fit before it.
+    while late < 3 {
+        let due = accepted.elapsed() > IN_FORCE;
+        for (vm, caller) in callers.iter_mut().enumerate() {
+            let (_, verdict) = send(caller, SPARE_KEY, "/manus/withdrawn").await?;
+            let stopped =
+                refused(&verdict, "key-withdrawn") || refused(&verdict, "stale-configuration");
+            ensure!(stopped || !due, "VM {vm} after {:?}: {verdict:?}", accepted.elapsed());
+        }
+        late += u32::from(due);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let start = Instant::now();
+    for caller in &mut callers {
+        while !refused(&send(caller, SPARE_KEY, "/manus/withdrawn").await?.1, "key-withdrawn") {
+            ensure!(start.elapsed() < LIMIT, "a VM does not name the reason");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        let (_, verdict) = send(caller, KEY, "/manus/other").await?;
+        ensure!(verdict == Verdict::Whole, "the organisation's other key: {verdict:?}");
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn only_a_vm_that_hears_neither_store_nor_peers_refuses_keyed_routes() -> anyhow::Result<()> {
+    let _one = ONE.lock().await;
+    let fleet = start().await?;
+    // The store away, all VMs up: the fleet goes on serving.
+    platform(&fleet, true).await?;
+    let away = Instant::now();
+    let mut callers: Vec<Caller> = (0..4).map(|vm| Caller::new(fleet.callers(vm))).collect();
+    let mut served = [0; 4];
+    while away.elapsed() < 2 * IN_FORCE || served.iter().any(|s| *s < 20) {
+        ensure!(away.elapsed() < LIMIT, "with the store away the VMs served {served:?}");
+        for (vm, caller) in callers.iter_mut().enumerate() {
+            let (_, verdict) = send(caller, KEY, "/manus/away").await?;
+            // Counted from the time at which every confirmation has run out.
+            let late = away.elapsed() > IN_FORCE + Duration::from_secs(1);
+            served[vm] += u32::from(late && verdict == Verdict::Whole);
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+
+    for vm in 1..4 {
+        fleet.vms[vm].as_ref().context("a VM does not run")?.signal("STOP")?;
+    }
+    // 3 s after the last message the others do not count as heard any more.
+    tokio::time::sleep(IN_FORCE + Duration::from_secs(1)).await;
+    let mut caller = Caller::new(fleet.callers(0));
+    for _ in 0..20 {
+        let (reply, verdict) = send(&mut caller, KEY, "/manus/alone").await?;
+        ensure!(refused(&verdict, "stale-configuration"), "alone, but {verdict:?}");
+        ensure!(reply.status == 503, "{reply:?}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    ensure!(!fleet.received("alone").await?, "a refused request ran");
+
+    for vm in 1..4 {
+        fleet.vms[vm].as_ref().context("a VM does not run")?.signal("CONT")?;
+    }
+    platform(&fleet, false).await?;
+    for vm in 0..4 {
+        fleet.wait_served(vm).await?;
+    }
+    Ok(())
+}
