--- a/components/config/src/diff.rs
+++ b/components/config/src/diff.rs
@@ -1,6 +1,4 @@
-use std::collections::BTreeMap;
-
-use crate::{Change, FleetConfig};
+use crate::{Change, FleetConfig, SharedMap};
 
 /// The changes that lead from one configuration to another.
 ///
@@ -10,7 +8,7 @@
 pub fn diff(current: &FleetConfig, desired: &FleetConfig) -> Vec<Change> {
     let mut changes = Vec::new();
     for (id, organisation) in altered(&current.organisations, &desired.organisations) {
-        let (id, organisation) = (id.clone(), organisation.clone());
+        let (id, organisation) = (id.clone().into(), organisation.clone());
         changes.push(Change::PutOrganisation { id, organisation });
     }
     for (id, service) in altered(&current.services, &desired.services) {
@@ -27,7 +25,7 @@
         changes.push(Change::RemoveService { id: id.clone() });
     }
     for id in dropped(&current.organisations, &desired.organisations) {
-        changes.push(Change::RemoveOrganisation { id: id.clone() });
+        changes.push(Change::RemoveOrganisation { id: id.clone().into() });
     }
     changes
 }
@@ -36,7 +34,7 @@
     for (digest, key) in altered(&current.keys, &desired.keys) {
         let same = current.keys.get(digest).filter(|old| old.organisation == key.organisation);
         if same.is_none_or(|old| old.withdrawn) {
-            let (digest, organisation) = (*digest, key.organisation.clone());
+            let (digest, organisation) = (*digest, key.organisation.clone().into());
             changes.push(Change::IssueKey { digest, organisation });
         }
         // The removal of an organisation withdraws its keys.
@@ -55,16 +53,16 @@
 
 /// Entries of `desired` that `current` lacks or has with another value.
 fn altered<'a, K: Ord, V: PartialEq>(
-    current: &'a BTreeMap<K, V>,
-    desired: &'a BTreeMap<K, V>,
+    current: &'a SharedMap<K, V>,
+    desired: &'a SharedMap<K, V>,
 ) -> impl Iterator<Item = (&'a K, &'a V)> {
-    desired.iter().filter(|(id, value)| current.get(id) != Some(value))
+    desired.changes_since(current).filter_map(|change| Some((change.key, change.new?)))
 }
 
 /// Names of `current` that `desired` lacks.
-fn dropped<'a, K: Ord, V>(
-    current: &'a BTreeMap<K, V>,
-    desired: &'a BTreeMap<K, V>,
+fn dropped<'a, K: Ord, V: PartialEq>(
+    current: &'a SharedMap<K, V>,
+    desired: &'a SharedMap<K, V>,
 ) -> impl Iterator<Item = &'a K> {
-    current.keys().filter(|id| !desired.contains_key(id))
+    desired.changes_since(current).filter(|change| change.new.is_none()).map(|change| change.key)
 }
--- a/tools/measure/src/experiments/mod.rs
+++ b/tools/measure/src/experiments/mod.rs
@@ -2,7 +2,11 @@
 
 mod detection;
 mod ejections;
+mod latency;
 mod link;
+mod rates;
+mod fairness;
+mod retries;
 
 use crate::Options;
 use crate::figure::Figure;
@@ -19,5 +23,10 @@
 pub const ALL: &[Experiment] = &[
     Experiment { name: "detection", run: detection::run },
     Experiment { name: "ejections", run: ejections::run },
+    Experiment { name: "latency", run: latency::run },
     Experiment { name: "link", run: link::run },
+    Experiment { name: "rates", run: rates::run },
+    Experiment { name: "rates-hour", run: rates::run_hour },
+    Experiment { name: "fairness", run: fairness::run },
+    Experiment { name: "retries", run: retries::run },
 ];
