Test the shares that organisations are served and due

The computation sat in the daemon, where no test reached it. It moves to the crate telemetry, with a test in which an organisation gets too few slots.

--- a/components/node/src/fleet.rs
+++ b/components/node/src/fleet.rs
@@ -201,7 +201,7 @@
     }
 
     fn used(&self, service: &str, organisation: &str, used: Duration) {
-        self.0.meters.shares.used(service, organisation, used);
+        self.0.meters.slots.used(service, organisation, used);
     }
 
     fn suspected(&self, service: &str, backend: &str, reason: EjectReason, after: Duration) {
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -16,7 +16,6 @@
 mod recent;
 mod rights;
 mod shared;
-mod shares;
 mod spill;
 mod start;
 mod view;
--- a/components/node/src/loops.rs
+++ b/components/node/src/loops.rs
@@ -90,8 +90,7 @@
             }
             if now >= ended + SHARE_INTERVAL {
                 ended = now;
-                let shares = self.meters.shares.end_interval(&self.lookup.load().config);
-                self.meters.metrics.set_shares(&shares);
+                self.meters.end_interval(&self.lookup.load().config);
             }
         }
     }
--- a/components/node/src/meters.rs
+++ b/components/node/src/meters.rs
@@ -5,16 +5,14 @@
 use config::FleetConfig;
 use kernel::prelude::*;
 use proxy::RequestRecord;
-use telemetry::{Metrics, ServiceMetrics};
-
-use crate::shares::Shares;
+use telemetry::{Metrics, ServiceMetrics, SlotTimes};
 
 /// Counts what the request path reports.
 pub struct Meters {
     /// The metrics of this VM.
     pub metrics: Arc<Metrics>,
     /// Slot time by service and organisation.
-    pub shares: Shares,
+    pub slots: SlotTimes,
     /// Counters by service, so that a request takes no lock.
     services: ArcSwap<HashMap<ServiceId, ServiceMetrics>>,
 }
@@ -34,7 +32,7 @@
 impl Meters {
     /// Meters that count into these metrics.
     pub fn new(metrics: Arc<Metrics>) -> Self {
-        Meters { metrics, shares: Shares::default(), services: ArcSwap::default() }
+        Meters { metrics, slots: SlotTimes::default(), services: ArcSwap::default() }
     }
 
     /// Takes over the services of the configuration in force.
@@ -50,6 +48,12 @@
         self.metrics.set_version(config.version);
     }
 
+    /// Ends an interval of the organisations' shares and shows it.
+    pub fn end_interval(&self, config: &FleetConfig) {
+        let weight = |id: &str| config.organisations.get(id).map_or(1.0, |o| o.weight);
+        self.metrics.set_shares(&self.slots.end_interval(weight));
+    }
+
     /// Counts a finished request. The VM that its caller asked counts its outcome; the VM that
     /// refused it counts the refusal.
     pub fn record(&self, record: &RequestRecord) {
@@ -78,7 +82,7 @@
             service.count_refused_within_rate();
         }
         if matches!(kind, RefusalKind::Overloaded | RefusalKind::DeadlinePassed) {
-            self.shares.refused(&record.service, &record.organisation);
+            self.slots.refused(&record.service, &record.organisation);
         }
     }
 }
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -7,6 +7,7 @@
 mod metrics;
 mod repeats;
 mod shares;
+mod slot_times;
 mod traces;
 
 /// Every numbered event.
@@ -21,6 +22,7 @@
 pub use metrics::{Metrics, ServiceMetrics};
 pub use repeats::{Repeat, Repeats};
 pub use shares::{Demand, OrganisationShare, max_min, select_shares};
+pub use slot_times::SlotTimes;
 pub use traces::{
     Tracing, attempt_span, entry_span, extract_context, forward_span, inject_context,
     platform_span, queue_span, record_spans, start_traces,
--- a/components/node/src/shares.rs
+++ b/components/telemetry/src/slot_times.rs
@@ -1,9 +1,9 @@
 use std::collections::HashMap;
 use std::sync::{Mutex, PoisonError};
 
-use config::FleetConfig;
 use kernel::prelude::*;
-use telemetry::{Demand, OrganisationShare, max_min};
+
+use crate::{Demand, OrganisationShare, max_min};
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Usage {
@@ -17,11 +17,11 @@
 
 /// Slot time that the organisations used of each service at its home, in one interval.
 #[derive(Debug, Default)]
-pub struct Shares {
+pub struct SlotTimes {
     services: Mutex<HashMap<ServiceId, HashMap<OrganisationId, Usage>>>,
 }
 
-impl Shares {
+impl SlotTimes {
     fn note(&self, service: &str, organisation: &str, note: impl FnOnce(&mut Usage)) {
         let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
         if !services.contains_key(service) {
@@ -50,8 +50,9 @@
     /// Ends the interval. Returns what each organisation used and was due, over all services.
     ///
     /// The capacity of a service is the slot time that was used. An organisation wanted what it
-    /// used, and the mean slot time for each request that got no slot.
-    pub fn end_interval(&self, config: &FleetConfig) -> Vec<OrganisationShare> {
+    /// used, and the mean slot time for each request that got no slot. `weight` gives the weight of
+    /// an organisation; it is above 0.
+    pub fn end_interval(&self, weight: impl Fn(&str) -> f64) -> Vec<OrganisationShare> {
         let services =
             std::mem::take(&mut *self.services.lock().unwrap_or_else(PoisonError::into_inner));
         let mut shares: HashMap<OrganisationId, OrganisationShare> = HashMap::new();
@@ -61,7 +62,7 @@
             let mean = capacity / f64::from(attempts.max(1));
             let usages: Vec<_> = usages.into_iter().collect();
             let demand = |(organisation, usage): &(OrganisationId, Usage)| Demand {
-                weight: config.organisations.get(organisation).map_or(1.0, |o| o.weight),
+                weight: weight(organisation),
                 wanted: usage.served.as_secs_f64() + mean * f64::from(usage.refused),
             };
             let due = max_min(capacity, &usages.iter().map(demand).collect::<Vec<_>>());
--- a/components/telemetry/tests/metrics.rs
+++ b/components/telemetry/tests/metrics.rs
@@ -4,8 +4,8 @@
 
 use kernel::{EjectReason, PlatformError, RefusalKind};
 use telemetry::{
-    Demand, Metrics, OrganisationShare, PeerState, RequestOutcome, StoreCall, StoreResult, max_min,
-    select_shares,
+    Demand, Metrics, OrganisationShare, PeerState, RequestOutcome, SlotTimes, StoreCall,
+    StoreResult, max_min, select_shares,
 };
 
 fn share(organisation: &str, served: f64, due: f64) -> OrganisationShare {
@@ -88,3 +88,21 @@
     assert_eq!(max_min(0.0, &all), [0.0; 4]);
     assert!(max_min(1.0, &[]).is_empty());
 }
+
+/// Guards against an organisation that shows as well served although its requests get no slot.
+#[test]
+fn starved_organisations_are_due_more_than_they_used() {
+    let times = SlotTimes::default();
+    for _ in 0..9 {
+        times.used("manus", "greedy", Duration::from_secs(1));
+        times.refused("manus", "starved");
+    }
+    times.used("manus", "starved", Duration::from_secs(1));
+    times.used("rattelse", "starved", Duration::from_secs(2));
+    times.used("manus", "", Duration::ZERO);
+    let mut shares = times.end_interval(|_| 1.0);
+    shares.sort_by(|a, b| a.organisation.cmp(&b.organisation));
+    // Of 10 s on manus at most half is due to each; rattelse served all that was wanted.
+    assert_eq!(shares, [share("greedy", 9.0, 5.0), share("starved", 3.0, 7.0)]);
+    assert!(times.end_interval(|_| 1.0).is_empty(), "an interval is counted twice");
+}
