--- a/components/node/src/configuration.rs
+++ b/components/node/src/configuration.rs
@@ -27,14 +27,8 @@
         }
         {
             let mut limiter = self.limiter();
-            for id in old.organisations.keys().filter(|id| !config.organisations.contains_key(*id))
-            {
-                limiter.set_rate(now, id, None);
-            }
-            for (id, organisation) in &config.organisations {
-                if old.organisations.get(id).is_none_or(|o| o.rate != organisation.rate) {
-                    limiter.set_rate(now, id, Some(organisation.rate));
-                }
+            for change in config.organisations.changes_since(&old.organisations) {
+                limiter.set_rate(now, change.key, change.new.map(|o| o.rate));
             }
         }
         if let Some(engine) = self.engine() {
--- a/tools/measure/src/experiments/cost.rs
+++ b/tools/measure/src/experiments/cost.rs
@@ -55,10 +55,10 @@
     for i in 0..organisations {
         let rate = Rate { per_second: 10.0, burst: 20.0 };
         let organisation = Organisation { rate, weight: 1.0 };
-        config.organisations.insert(organisation_id(i), organisation);
+        config.organisations.insert(organisation_id(i).into(), organisation);
         let mut digest = [0; 32];
         digest[..8].copy_from_slice(&(i as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15).to_be_bytes());
-        let key = Key { organisation: organisation_id(i), withdrawn: false };
+        let key = Key { organisation: organisation_id(i).into(), withdrawn: false };
         config.keys.insert(KeyDigest::from_bytes(digest), key);
     }
     for s in 0..services {
