--- a/components/node/src/configuration.rs
+++ b/components/node/src/configuration.rs
@@ -4,6 +4,7 @@
 use config::{Delta, FleetConfig, Lookup, StoreError, replay};
 use kernel::prelude::*;
 use peers::Message;
+use telemetry::Event;
 
 use crate::shared::Shared;
 
@@ -88,7 +89,7 @@
             }
         }
         if let Err(error) = self.load_newest().await {
-            telemetry::event!(CONFIG_UNREAD, error = error.to_string());
+            note_unread(&telemetry::events::CONFIG_UNREAD, &error);
         }
     }
 
@@ -124,7 +125,7 @@
             let guard = self.install.lock().await;
             match self.load_newest().await {
                 Ok(()) => return,
-                Err(error) => telemetry::event!(CONFIG_UNREAD, error = error.to_string()),
+                Err(error) => note_unread(&telemetry::events::CONFIG_UNREAD, &error),
             }
             drop(guard);
             tokio::time::sleep(POLL).await;
@@ -141,7 +142,7 @@
             tokio::time::sleep(pause.mul_f64(spread)).await;
             let _guard = self.install.lock().await;
             if let Err(error) = self.load_newest().await {
-                telemetry::event!(HEAD_UNREAD, error = error.to_string());
+                note_unread(&telemetry::events::HEAD_UNREAD, &error);
             }
         }
     }
@@ -151,3 +152,10 @@
         self.broadcast(&Message::NewVersion(self.version()));
     }
 }
+
+/// Logs that the configuration could not be read: as `event`, unless a row makes no sense.
+fn note_unread(event: &Event, error: &StoreError) {
+    let unreadable = matches!(error, StoreError::Unreadable { .. });
+    let event = if unreadable { &telemetry::events::DELTA_UNREADABLE } else { event };
+    telemetry::emit(event, &[("error", error.to_string().as_str().into())]);
+}
--- a/components/node/src/operators.rs
+++ b/components/node/src/operators.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use config::{ChangeSet, Committed, FleetConfig};
+use config::{ChangeError, ChangeSet, Committed, FleetConfig, StoreError};
 use futures::future::{BoxFuture, join_all};
 use kernel::VmState;
 use kernel::prelude::*;
@@ -40,7 +40,7 @@
             ));
         }
         let held = Arc::clone(&self.lookup.load().config);
-        let committed = self.store.commit(&held, &set).await;
+        let committed = self.store.commit(&held, &set).await.inspect_err(note_refused);
         match committed? {
             Committed::Before { version } => Ok(Applied { version, repeated: true }),
             Committed::Now { config, delta, snapshot_due } => {
@@ -121,6 +121,19 @@
     }
 }
 
+/// Logs a change that another one came before, or whose outcome is not known.
+fn note_refused(error: &StoreError) {
+    match error {
+        StoreError::Change(ChangeError::Conflict { base, current }) => {
+            telemetry::event!(CHANGE_CONFLICT, base = base, version = current);
+        }
+        StoreError::Uncertain { change_id, .. } => {
+            telemetry::event!(CHANGE_UNCERTAIN, change = change_id);
+        }
+        _ => {}
+    }
+}
+
 impl Backend for OperatorBackend {
     fn apply(&self, set: ChangeSet) -> BoxFuture<'_, Result<Applied, OperatorError>> {
         Box::pin(self.0.apply(set))
--- a/components/node/src/rights.rs
+++ b/components/node/src/rights.rs
@@ -100,8 +100,11 @@
             let (want, total) = (to_units(want), to_units(total));
             if want < held {
                 home.set_budget((want as usize).saturating_sub(draining));
-                if let Err(error) = holder.release(EJECT, &id, want).await {
-                    note_unchanged(EJECT, &id, &error);
+                match holder.release(EJECT, &id, want).await {
+                    Ok(_) => {
+                        telemetry::event!(RIGHTS_RETURNED, kind = EJECT, id = id, units = want);
+                    }
+                    Err(error) => note_unchanged(EJECT, &id, &error),
                 }
                 continue;
             }
--- a/components/node/src/spill.rs
+++ b/components/node/src/spill.rs
@@ -69,6 +69,7 @@
         });
         let back = link.mean as u64 + HEAD_BYTES;
         if !link.budget.admit(now, bytes + HEAD_BYTES, back, weight) {
+            telemetry::event!(LINK_BUDGET_SPENT, service = service);
             return None;
         }
         report.free -= 1;
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -72,6 +72,7 @@
 /// Runs the daemon with logs and traces, which belong to the process as a whole.
 async fn run_observed(settings: Settings) -> anyhow::Result<()> {
     telemetry::init_logs(&settings.log)?;
+    telemetry::event!(SETTINGS_READ);
     let seed = settings.seed.unwrap_or_else(entropy);
     let tracing = telemetry::start_traces(&settings.traces, &settings.vm, seed)?;
     let result = run(settings).await;
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -159,6 +159,9 @@
     let (mut head, body) = response.into_parts();
     if head.status == StatusCode::SERVICE_UNAVAILABLE && head.headers.contains_key(NOT_RUN_HEADER) {
         let draining = head.headers[NOT_RUN_HEADER] == "draining";
+        if draining {
+            telemetry::event!(BACKEND_DRAINING, service = call.service, backend = slot.backend);
+        }
         slot.end(if draining { AttemptOutcome::Draining } else { AttemptOutcome::Shed });
         let message = "the backend server is full or leaving; retry later".to_owned();
         return Err(Failure::new(Sent::RefusedUnrun, RefusalKind::Overloaded, message));
