Let the histogram of waits hold a minute

Cause: it saturated at 2 microseconds, so the 99th percentile was wrong.

Change: the histogram has a fixed range of a minute.

--- a/tools/measure/src/rate_fleet.rs
+++ b/tools/measure/src/rate_fleet.rs
@@ -132,7 +132,7 @@
             references: Vec::new(),
             report: Report {
                 counts: vec![Count::default(); tenants.len()],
-                waits: Histogram::new(3)?,
+                waits: Histogram::new_with_max(60_000_000, 3)?,
                 messages: 0,
                 far: 0,
             },
