Let half a second of supply wait for tokens

Cause: in a burst a VM refused requests as soon as no holder had tokens, though their refill of the next half second went unused.

Change: as many requests may wait as half a second of supply serves, in place of a quarter.

--- a/components/limiter/src/account.rs
+++ b/components/limiter/src/account.rs
@@ -32,7 +32,7 @@
 const RETRY: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 
 /// Time of supply that may wait when no holder has tokens.
-const QUEUE_S: f64 = 0.25;
+const QUEUE_S: f64 = 0.5;
 
 /// Accounts that merely hold units are visited this often.
 const REST: Duration = Duration::from_secs(1);
