--- a/components/detector/tests/behaviour/bench.rs
+++ b/components/detector/tests/behaviour/bench.rs
@@ -22,13 +22,16 @@
         .collect()
 }
 
-/// A detector, its clock and what it asked for. Probes are answered as healthy at once.
+/// A detector, its clock and what it asked for. Probes are answered as healthy at once
+/// while `open` is set.
 pub struct Bench {
     detector: detector::Evidence,
     rng: SmallRng,
     now: Uptime,
     attempts: AttemptId,
     backends: usize,
+    /// Whether probes are answered.
+    pub open: bool,
     /// Everything the detector asked for.
     pub actions: Vec<DetectorAction>,
 }
@@ -38,7 +41,8 @@
     pub fn warm(backends: usize) -> Self {
         let rng = SmallRng::seed_from_u64(1);
         let (detector, now) = (detector::Evidence::default(), Uptime::ZERO);
-        let mut bench = Bench { detector, rng, now, attempts: 0, backends, actions: Vec::new() };
+        let (attempts, open, actions) = (0, true, Vec::new());
+        let mut bench = Bench { detector, rng, now, attempts, backends, open, actions };
         bench.set_backends(backends);
         bench.set_budget(2);
         bench.serve_all(40, Duration::from_millis(50));
@@ -72,7 +76,7 @@
             self.now += Duration::from_millis(50);
             let actions = self.detector.poll(self.now, &mut self.rng);
             for action in &actions {
-                if let DetectorAction::Probe { backend } = action {
+                if let (DetectorAction::Probe { backend }, true) = (action, self.open) {
                     let (backend, took) = (backend.clone(), Duration::from_millis(25));
                     self.observe(BackendEvent::Probed { backend, healthy: true, took });
                 }
--- a/components/detector/tests/behaviour/evidence.rs
+++ b/components/detector/tests/behaviour/evidence.rs
@@ -94,6 +94,28 @@
     assert_eq!(bench.standing("b0"), Standing::Unreachable);
 }
 
+/// Guards against ejecting for all VMs a backend server whose answers get lost on the way here,
+/// and against probes above their budget of one a second.
+#[test]
+fn lost_answers_are_unreachable_and_not_ejected() {
+    let mut bench = Bench::warm(5);
+    bench.open = false;
+    bench.actions.clear();
+    bench.send_on("b0", true);
+    let begun = bench.now();
+    for _ in 0..20 {
+        bench.run(500);
+        bench.observe(BackendEvent::PeerReach { backend: "b0".into(), reachable: true });
+    }
+    assert!(!ejected(&bench.actions));
+    assert_eq!(bench.standing("b0"), Standing::Unreachable);
+    let probes = bench.actions.iter().filter(|a| matches!(a, DetectorAction::Probe { .. })).count();
+    assert!(probes as u64 <= (bench.now() - begun).as_secs(), "{probes} probes");
+    bench.open = true;
+    bench.run(6000);
+    assert!(matches!(bench.standing("b0"), Standing::Ramping(_)), "{:?}", bench.standing("b0"));
+}
+
 /// Guards against ejecting a backend server for one connection that went silent.
 #[test]
 fn silent_connection_is_dropped_and_the_backend_server_kept() {
