Keep several pauses from adding up to an ejection

Change: requests given up before 1 s of age add up to 10 at most once the backend server has answered since the first.

--- a/components/detector/src/judge.rs
+++ b/components/detector/src/judge.rs
@@ -127,7 +127,7 @@
             .get(&attempt)
             .map(|flight| (flight.sent, track.deviation(now.saturating_sub(flight.sent))));
         if let (true, Some((sent, z))) = (again, late) {
-            track.score.abandon(now, sent, z);
+            track.score.abandon(now, sent, z, track.alive);
         }
         if let Some(flight) = track.flights.get_mut(&attempt) {
             flight.dropped = true;
--- a/components/detector/src/score.rs
+++ b/components/detector/src/score.rs
@@ -15,6 +15,10 @@
 const EJECT_SLOW: f64 = 18.0;
 /// Most that one ended attempt adds, so that no single one ejects.
 const SINGLE: f64 = 8.0;
+/// Age below which a request that was given up may have met no more than a pause.
+const BRIEF: Duration = Duration::from_secs(1);
+/// Most evidence that such requests add up to; several pauses must not eject.
+const BRIEF_SUM: f64 = 10.0;
 /// Half-life of evidence that nothing renews.
 const HALF_LIFE: Duration = Duration::from_secs(20);
 /// Part of the requests that a stalling backend server is supposed to stall.
@@ -34,8 +38,10 @@
     value: f64,
     /// When it last changed.
     at: Uptime,
-    /// When it last left 0.
+    /// When the attempt was sent that made it leave 0 last.
     since: Uptime,
+    /// When that attempt ended.
+    begun: Uptime,
     /// When the last evidence against the backend server that counted ended.
     counted: Option<Uptime>,
 }
@@ -57,6 +63,7 @@
         let value = self.value(now);
         if value < 0.1 && amount > 0.0 {
             self.since = sent;
+            self.begun = now;
         }
         self.value = (value + amount).max(0.0);
         self.at = now;
@@ -121,10 +128,17 @@
     }
 
     /// Takes the end of a request that was unanswered at an age of `z` deviations.
-    pub fn abandon(&mut self, now: Uptime, sent: Uptime, z: f64) {
+    /// `alive` is when the backend server last answered anything.
+    pub fn abandon(&mut self, now: Uptime, sent: Uptime, z: f64, alive: Option<Uptime>) {
         let weight = weigh_age(z);
         if weight > 0.0 {
+            let before = self.stall.value(now);
             self.stall.add_once(now, sent, weight);
+            // One that has answered nothing since the first such request does not just pause.
+            let answered = alive.is_some_and(|at| at > self.stall.begun);
+            if answered && now.saturating_sub(sent) < BRIEF {
+                self.stall.set(now, self.stall.value(now).min(before.max(BRIEF_SUM)));
+            }
         }
     }
 
--- a/components/detector/src/track.rs
+++ b/components/detector/src/track.rs
@@ -264,7 +264,7 @@
             }
             AttemptOutcome::Reset if !dropped => self.blame(now, sent),
             AttemptOutcome::TimedOut | AttemptOutcome::Cancelled if unanswered && !dropped => {
-                self.score.abandon(now, sent, z);
+                self.score.abandon(now, sent, z, self.alive);
                 self.tainted |= weigh_age(z) > 0.0;
             }
             AttemptOutcome::TimedOut if !dropped => self.blame(now, sent),
