Ask backend servers that are leaving whether they still are

A backend server that once refused a request because it was leaving never got work again while its home lived: the detector lets it return on load reports without the sign, but nothing read the load endpoint. After a rolling restart of a service at the same addresses no backend server was left.

Each home now reads GET /load of the backend servers that are leaving every 5 s and gives the reports to the detector.

--- a/components/node/src/loops.rs
+++ b/components/node/src/loops.rs
@@ -13,7 +13,8 @@
 /// Period of the reads of the platform's list. It lags by minutes, so that a faster one finds
 /// little more.
 const LIST_TICK: Duration = Duration::from_secs(5);
-/// Period in which idle connections to backend servers are looked for.
+/// Period in which idle connections to backend servers are looked for and backend servers that are
+/// leaving are asked for news.
 const IDLE_TICK: Duration = Duration::from_secs(5);
 
 fn every(period: Duration) -> tokio::time::Interval {
@@ -79,6 +80,7 @@
                 _ = idle.tick() => {
                     for (_, home) in self.engine().map(|e| e.homes()).unwrap_or_default() {
                         home.close_idle();
+                        home.ask_leaving();
                     }
                 }
             }
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -3,10 +3,11 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use kernel::AttemptOutcome;
 use kernel::prelude::*;
+use kernel::{AttemptOutcome, LoadHint};
+use serde::Deserialize;
 
 use crate::body::Body;
 use crate::call::{Call, pass_on};
@@ -25,6 +26,8 @@
 const IDLE_ONCE: Duration = Duration::from_secs(1);
 /// Longest wait for the response to a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest load report; it has three fields.
+const MAX_LOAD_BYTES: usize = 4096;
 
 /// What is known of a request whose attempt failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -185,15 +188,35 @@
 /// Asks the health endpoint. Returns whether it says healthy, and the time that it took.
 pub async fn probe(pool: &Arc<Pool>) -> (bool, Duration) {
     let start = Instant::now();
-    let ask = async {
-        let mut connection = pool.checkout(Duration::ZERO).await.ok()?;
-        let mut request = Request::new(Full::new(Bytes::new()));
-        *request.method_mut() = Method::GET;
-        *request.uri_mut() = http::Uri::from_static("/healthz");
-        request.headers_mut().insert(header::HOST, HeaderValue::from_static("backend"));
-        let response = connection.send(request).await.ok()?;
-        Some(response.status().is_success())
-    };
+    let ask = async { Some(get(pool, "/healthz").await?.status().is_success()) };
     let healthy = tokio::time::timeout(PROBE_TIMEOUT, ask).await.ok().flatten();
     (healthy.unwrap_or(false), start.elapsed())
 }
+
+/// Asks the load endpoint; none if it does not answer in time and in form.
+pub async fn ask_load(pool: &Arc<Pool>) -> Option<LoadHint> {
+    let ask = async {
+        let body = Limited::new(get(pool, "/load").await?.into_body(), MAX_LOAD_BYTES);
+        let load: Load = serde_json::from_slice(&body.collect().await.ok()?.to_bytes()).ok()?;
+        Some(LoadHint { busy: load.busy, queued: load.queued, draining: load.draining })
+    };
+    tokio::time::timeout(PROBE_TIMEOUT, ask).await.ok().flatten()
+}
+
+/// A load report on the wire.
+#[derive(Deserialize)]
+struct Load {
+    busy: u32,
+    queued: u32,
+    draining: bool,
+}
+
+/// Sends a request without a body on a connection of its own.
+async fn get(pool: &Arc<Pool>, path: &'static str) -> Option<Response<Incoming>> {
+    let mut connection = pool.checkout(Duration::ZERO).await.ok()?;
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.method_mut() = Method::GET;
+    *request.uri_mut() = http::Uri::from_static(path);
+    request.headers_mut().insert(header::HOST, HeaderValue::from_static("backend"));
+    connection.send(request).await.ok()
+}
--- a/components/proxy/src/home.rs
+++ b/components/proxy/src/home.rs
@@ -262,6 +262,27 @@
         }
     }
 
+    /// Asks backend servers that are leaving whether they still are, so that one that was replaced
+    /// at its address takes work again. Called every few seconds; an answer costs 25 ms there.
+    pub fn ask_leaving(self: &Arc<Self>) {
+        let now = self.now();
+        let leaving: Vec<(BackendId, Arc<Pool>)> = {
+            let state = self.lock();
+            let pools = state.pools.iter();
+            let leaving =
+                pools.filter(|(id, _)| state.detector.standing(now, id) == Standing::Draining);
+            leaving.map(|(id, pool)| (id.clone(), Arc::clone(pool))).collect()
+        };
+        for (backend, pool) in leaving {
+            let home = Arc::clone(self);
+            tokio::spawn(async move {
+                if let Some(hint) = crate::attempt::ask_load(&pool).await {
+                    home.observe(&BackendEvent::Hint { backend, hint });
+                }
+            });
+        }
+    }
+
     fn act(self: &Arc<Self>, action: DetectorAction) {
         let service = &*self.service;
         match action {
