Count a request in flight against a pause that an ended one met

Change: before an ejection only requests sent after the last counted end add to the sum, unless those in flight weigh more by themselves.

--- a/components/detector/src/score.rs
+++ b/components/detector/src/score.rs
@@ -58,6 +58,11 @@
         self.since
     }
 
+    /// When the last evidence against the backend server that counted ended.
+    pub fn counted(&self) -> Option<Uptime> {
+        self.counted
+    }
+
     /// Adds evidence that came from an attempt sent at `sent`.
     fn add(&mut self, now: Uptime, sent: Uptime, amount: f64) {
         let value = self.value(now);
--- a/components/detector/src/track.rs
+++ b/components/detector/src/track.rs
@@ -172,11 +172,13 @@
 
     /// Evidence of unanswered requests, with the time that the oldest was sent. `pause` is the
     /// part of their age that is excused.
-    fn weigh_flights(&self, now: Uptime, pause: Duration) -> (f64, Option<Uptime>) {
+    /// Only requests sent at `from` or later are weighed.
+    fn weigh_flights(&self, now: Uptime, pause: Duration, from: Uptime) -> (f64, Option<Uptime>) {
         let mut sum = (0.0, None);
         for flight in self.flights.values() {
             let age = now.saturating_sub(flight.sent).saturating_sub(pause);
-            if flight.answered.is_some() || flight.dropped || age < LEAST_AGE {
+            if flight.answered.is_some() || flight.dropped || age < LEAST_AGE || flight.sent < from
+            {
                 continue;
             }
             let weight = weigh_age(self.deviation(age));
@@ -190,14 +192,18 @@
 
     /// Strongest evidence, its reason and its start, for the decision to suspect.
     pub fn weigh(&self, now: Uptime) -> (f64, EjectReason, Uptime) {
-        let (waiting, oldest) = self.weigh_flights(now, Duration::ZERO);
+        let (waiting, oldest) = self.weigh_flights(now, Duration::ZERO, Uptime::ZERO);
         self.score.strongest(now, waiting, oldest)
     }
 
     /// Strongest evidence, its reason and its start, for the decision to eject: a pause that
     /// delays all requests in flight is not counted once for each.
     pub fn weigh_patiently(&self, now: Uptime) -> (f64, EjectReason, Uptime) {
-        let (waiting, oldest) = self.weigh_flights(now, PAUSE);
+        let (all, oldest) = self.weigh_flights(now, PAUSE, Uptime::ZERO);
+        // Requests that overlap an ended one that counts may have met the same pause.
+        let from = self.score.stall.counted().unwrap_or_default();
+        let later = self.weigh_flights(now, PAUSE, from).0;
+        let waiting = later.max(all - self.score.stall.value(now));
         self.score.strongest(now, waiting, oldest)
     }
 
