Forget a failure to connect after 10 s

Cause: one failure made a backend server suspect until it answered, and a service without idempotent requests has no trials to make it answer.

Change: failures to connect are forgotten 10 s after the last one.

--- a/components/detector/src/judge.rs
+++ b/components/detector/src/judge.rs
@@ -17,6 +17,9 @@
 const PROBE_AGAIN: Duration = Duration::from_secs(5);
 /// Shortest time between the first evidence and an ejection; two pauses of 500 ms in a row.
 const LEAST_SPAN: Duration = Duration::from_secs(1);
+/// Age at which a failure to connect is forgotten. Without it a service whose requests must not
+/// repeat, and so are no trials, would never try the backend server again.
+const REFUSAL_AGE: Duration = Duration::from_secs(10);
 /// Time without an answer after which the way from this VM is in doubt.
 const SILENCE: Duration = Duration::from_millis(300);
 /// Time for which silence or failures to connect may be a partition that no peer has reported on yet.
@@ -44,6 +47,9 @@
     let mut actions = Vec::new();
     restore_surplus(evidence, &mut actions);
     for (id, track) in &mut evidence.tracks {
+        if now.saturating_sub(track.connect_last) >= REFUSAL_AGE {
+            track.connect_fails = 0;
+        }
         drop_silent(id, track, now, &mut actions);
         advance(id, track, now, rng, &mut actions);
         find_unreachable(track, now);
--- a/components/detector/src/track.rs
+++ b/components/detector/src/track.rs
@@ -69,9 +69,10 @@
     pub flights: BTreeMap<AttemptId, Flight>,
     /// Recent latencies.
     pub recent: Baseline,
-    /// Failures to connect since the last answer, and the time of the first.
+    /// Failures to connect since the last answer, and the times of the first and the last.
     pub connect_fails: u32,
     pub connect_since: Uptime,
+    pub connect_last: Uptime,
     /// When it answered last, if only with an error.
     pub alive: Option<Uptime>,
     /// Last report of another VM that could reach it.
@@ -115,6 +116,7 @@
             recent: Baseline::new(RECENT_PACE),
             connect_fails: 0,
             connect_since: now,
+            connect_last: now,
             alive: None,
             peer_reached: None,
             way_asked: None,
@@ -264,6 +266,7 @@
                 if self.connect_fails == 0 {
                     self.connect_since = now;
                 }
+                self.connect_last = now;
                 self.connect_fails += 1;
                 self.answers = 0;
                 self.blame(now, sent);
--- a/components/detector/tests/behaviour/evidence.rs
+++ b/components/detector/tests/behaviour/evidence.rs
@@ -94,6 +94,16 @@
     assert_eq!(bench.standing("b0"), Standing::Unreachable);
 }
 
+/// Guards against a backend server that is avoided for ever after one failure to connect.
+#[test]
+fn failure_to_connect_is_forgotten() {
+    let mut bench = Bench::warm(5);
+    bench.fail("b0", AttemptOutcome::ConnectFailed);
+    assert_eq!(bench.standing("b0"), Standing::Suspect);
+    bench.run(11_000);
+    assert_eq!(bench.standing("b0"), Standing::Healthy);
+}
+
 /// Guards against ejecting for all VMs a backend server whose answers get lost on the way here,
 /// and against probes above their budget of one a second.
 #[test]
