--- a/components/node/src/rights.rs
+++ b/components/node/src/rights.rs
@@ -1,5 +1,7 @@
+use std::collections::HashMap;
 use std::sync::Arc;
 
+use ::rights::Held;
 use ::rights::RightsError;
 use kernel::prelude::*;
 use tokio::sync::mpsc;
@@ -31,13 +33,7 @@
                 if renewal.lapsed {
                     telemetry::event!(RIGHTS_LOST);
                 }
-                let now = self.now();
-                let mut limiter = self.limiter();
-                for (kind, id, held) in holder.held() {
-                    if &*kind == RATE {
-                        limiter.set_units(now, &id, held.units, held.total, held.until, false);
-                    }
-                }
+                self.tell_limiter(&holder.held(), renewal.lapsed);
                 true
             }
             Err(error) => {
@@ -47,6 +43,36 @@
         }
     }
 
+    /// Tells the limiter what is held; after a lapse also what is gone.
+    fn tell_limiter(&self, held: &[(Box<str>, Box<str>, Held)], lapsed: bool) {
+        let now = self.now();
+        let mut limiter = self.limiter();
+        let rates: HashMap<&str, &Held> = held
+            .iter()
+            .filter(|(kind, ..)| &**kind == RATE)
+            .map(|(_, id, held)| (&**id, held))
+            .collect();
+        for (id, held) in &rates {
+            limiter.set_units(now, id, held.units, held.total, held.until, false);
+        }
+        if lapsed {
+            let rated = self.rated();
+            for id in rated.iter().filter(|id| !rates.contains_key(&***id)) {
+                limiter.set_units(now, id, 0, limiter::RATE_UNITS, now, false);
+            }
+        }
+    }
+
+    /// Stops using the units of all rates. They may be released afterwards.
+    pub async fn give_up_rates(&self) {
+        let held = self.holder.lock().await.held();
+        let now = self.now();
+        let mut limiter = self.limiter();
+        for (_, id, held) in held.iter().filter(|(kind, ..)| &**kind == RATE) {
+            limiter.set_units(now, id, 0, held.total, now, false);
+        }
+    }
+
     /// Keeps the session and the budgets of ejections.
     pub async fn keep_rights(self: &Arc<Self>) {
         let mut renewed = None;
@@ -90,7 +116,7 @@
                 .homes(&id, region)
                 .first()
                 .is_some_and(|vm| vm.incarnation == self.me.incarnation);
-            let want = if is_home { share } else { 0 };
+            let want = if is_home && !self.flags.stopping() { share } else { 0 };
             let mut holder = self.holder.lock().await;
             let held = holder
                 .held()
@@ -126,6 +152,8 @@
     pub async fn keep_rates(self: &Arc<Self>, mut claims: mpsc::UnboundedReceiver<ClaimRequest>) {
         while let Some(request) = claims.recv().await {
             match request {
+                // A right claimed while this VM stops could be lost with it.
+                ClaimRequest::Claim(..) if self.flags.stopping() => {}
                 ClaimRequest::Claim(organisation, units) => {
                     self.claim_rate(organisation, units).await;
                 }
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -120,6 +120,7 @@
     tokio::time::sleep(shared.settings.drain).await;
     stop.cancel();
     serve.await.context("the server for callers failed")?;
+    shared.give_up_rates().await;
     if let Err(error) = shared.holder.lock().await.release_all().await {
         telemetry::event!(RIGHTS_KEPT, error = error.to_string());
     }
--- a/components/proxy/src/engine.rs
+++ b/components/proxy/src/engine.rs
@@ -261,51 +261,54 @@
             call.admitted = true;
         }
         let home = self.home(&call.service)?;
-        if let Some(vm) = self.spill_to(&home, &call) {
-            match self.forwarder.send(&call, &vm, self.fleet.now()).await {
+        self.run_at(&home, &call).await
+    }
+
+    /// Runs the request at a home of this VM, or sends it to the home that should have it.
+    async fn run_at(&self, home: &Arc<Home>, call: &Call) -> Result<Response<Body>, Refusal> {
+        let mut spill = call.hops < MAX_HOPS;
+        let mut doubtful = false;
+        loop {
+            let (vm, last) = match home.run(call, spill).await {
+                Ok(response) => return Ok(response),
+                Err(RunError::Refused(refusal)) if doubtful => return Err(refusal.possibly_run()),
+                Err(RunError::Refused(refusal)) => return Err(refusal),
+                Err(RunError::GoTo(arbiter)) => (self.arbiter(call, arbiter)?, true),
+                Err(RunError::Spill { vm, doubt }) => {
+                    doubtful |= doubt;
+                    (*vm, false)
+                }
+            };
+            let result = match self.forwarder.send(call, &vm, self.fleet.now()).await {
                 Ok(response) if outcome(response.headers()) != Some(Outcome::NotRun) => {
                     let length = http_body::Body::size_hint(response.body()).lower();
                     self.fleet.settle_link(&call.service, length);
                     return Ok(response);
                 }
+                Ok(response) => Ok(response),
                 Err(failure) if failure.sent == Sent::Maybe && !call.idempotent => {
                     return Err(failure.refusal);
                 }
-                Err(failure) if failure.sent == Sent::Maybe => {
-                    return doubt(self.run_at(&home, &call).await);
+                Err(failure) => {
+                    doubtful |= failure.sent == Sent::Maybe;
+                    Err(failure.refusal)
                 }
-                // The other region did not run it; this one still may.
-                _ => {}
+            };
+            if last {
+                return if doubtful { doubt(result) } else { result };
             }
+            // The other region did not run it, or it may run again: this one still may.
+            spill = false;
         }
-        self.run_at(&home, &call).await
     }
 
-    /// Runs the request at a home of this VM, or sends it to the arbiter of the crash guard.
-    async fn run_at(&self, home: &Arc<Home>, call: &Call) -> Result<Response<Body>, Refusal> {
-        let arbiter = match home.run(call).await {
-            Ok(response) => return Ok(response),
-            Err(RunError::Refused(refusal)) => return Err(refusal),
-            Err(RunError::GoTo(arbiter)) => arbiter,
-        };
+    /// The arbiter of the crash guard, to which a suspect is sent.
+    fn arbiter(&self, call: &Call, arbiter: Incarnation) -> Result<VmEntry, Refusal> {
         let held_back = || Failure::held_back().refusal.retry_after(Duration::from_secs(1));
         if call.hops >= MAX_HOPS {
             return Err(held_back());
         }
-        let vm = self.fleet.vm(arbiter).ok_or_else(held_back)?;
-        let sent = self.forwarder.send(call, &vm, self.fleet.now()).await;
-        sent.map_err(|failure| failure.refusal)
-    }
-
-    /// VM in another region to send the request to, if the backend servers here are busy.
-    fn spill_to(&self, home: &Home, call: &Call) -> Option<VmEntry> {
-        if call.hops >= MAX_HOPS {
-            return None;
-        }
-        let (usable, _, waiting) = home.load();
-        // With half a round of slots waiting, the wait is longer than the way to the other region.
-        let busy = usable == 0 || waiting > usable as usize / 2;
-        busy.then(|| self.fleet.spill(&call.service, call.weight, call.body.len())).flatten()
+        self.fleet.vm(arbiter).ok_or_else(held_back)
     }
 
     /// Waits for a token of the organisation's rate.
--- a/components/proxy/src/run.rs
+++ b/components/proxy/src/run.rs
@@ -3,6 +3,7 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use http::Response;
+use kernel::VmEntry;
 use kernel::prelude::*;
 use retry::{RetryRequest, SentState, Verdict, may_retry};
 
@@ -22,6 +23,13 @@
     Refused(Refusal),
     /// Only this home may run it.
     GoTo(Incarnation),
+    /// The home of another region has free slots and this one has none.
+    Spill {
+        /// The home.
+        vm: Box<VmEntry>,
+        /// Whether an attempt here may have run.
+        doubt: bool,
+    },
 }
 
 impl From<Refusal> for RunError {
@@ -35,9 +43,49 @@
     /// the route and the budget allow.
     ///
     /// A suspect of the crash guard is told to go to the arbiter before it is queued here.
-    pub async fn run(self: &Arc<Self>, call: &Call) -> Result<Response<Body>, RunError> {
+    /// With `spill` a request that would wait for long is told to go to another region.
+    pub async fn run(
+        self: &Arc<Self>,
+        call: &Call,
+        spill: bool,
+    ) -> Result<Response<Body>, RunError> {
         self.pass_guard(call).await?;
-        Ok(self.run_guarded(call).await?)
+        self.run_guarded(call, spill).await
+    }
+
+    /// VM in another region to send the request to, if the backend servers here are busy.
+    fn spill_to(&self, call: &Call) -> Option<VmEntry> {
+        let (usable, _, waiting) = self.load();
+        // With half a round of slots waiting, the wait is longer than the way to the other region.
+        let busy = usable == 0 || waiting > usable as usize / 2;
+        busy.then(|| self.fleet().spill(&call.service, call.weight, call.body.len())).flatten()
+    }
+
+    /// Waits for a slot, or until another region is the better place.
+    async fn acquire_or_spill(
+        self: &Arc<Self>,
+        call: &Call,
+        tried: &[BackendId],
+        spill: bool,
+    ) -> Result<Result<Slot, VmEntry>, Refusal> {
+        /// Pause between two looks at the other regions; they report every 200 ms.
+        const LOOK: Duration = Duration::from_millis(50);
+        if spill && let Some(vm) = self.spill_to(call) {
+            return Ok(Err(vm));
+        }
+        let mut waiting = std::pin::pin!(self.acquire(call, tried));
+        loop {
+            tokio::select! {
+                biased;
+                slot = &mut waiting => return slot.map(Ok),
+                () = tokio::time::sleep(LOOK), if spill => {
+                    // Leaving the queue gives the place, or a slot just granted, to the next.
+                    if let Some(vm) = self.spill_to(call) {
+                        return Ok(Err(vm));
+                    }
+                }
+            }
+        }
     }
 
     /// Waits until the crash guard lets the request run here.
@@ -66,16 +114,21 @@
         }
     }
 
-    async fn run_guarded(self: &Arc<Self>, call: &Call) -> Result<Response<Body>, Refusal> {
+    async fn run_guarded(
+        self: &Arc<Self>,
+        call: &Call,
+        spill: bool,
+    ) -> Result<Response<Body>, RunError> {
         self.with_retries(|budget, _| budget.first_attempt("", &call.organisation));
         let mut tried: Vec<BackendId> = Vec::new();
         // Once an attempt may have run, no later refusal may say that the request was not run.
         let mut doubt = false;
         loop {
-            let slot = match self.acquire(call, &tried).await {
-                Ok(slot) => slot,
-                Err(refusal) if doubt => return Err(refusal.possibly_run()),
-                Err(refusal) => return Err(refusal),
+            let slot = match self.acquire_or_spill(call, &tried, spill).await {
+                Ok(Ok(slot)) => slot,
+                Ok(Err(vm)) => return Err(RunError::Spill { vm: Box::new(vm), doubt }),
+                Err(refusal) if doubt => return Err(refusal.possibly_run().into()),
+                Err(refusal) => return Err(refusal.into()),
             };
             let failure = match self.run_hedged(slot, call, &mut tried).await {
                 Ok(response) => return Ok(response),
@@ -84,11 +137,11 @@
             doubt |= failure.sent == Sent::Maybe;
             if failure.refusal.kind == RefusalKind::CrashSuspect {
                 let refusal = failure.refusal;
-                return Err(if doubt { refusal.possibly_run() } else { refusal });
+                return Err(if doubt { refusal.possibly_run().into() } else { refusal.into() });
             }
             if !self.may_retry(call, failure.sent, tried.len()) {
                 let refusal = failure.refusal;
-                return Err(if doubt { refusal.possibly_run() } else { refusal });
+                return Err(if doubt { refusal.possibly_run().into() } else { refusal.into() });
             }
         }
     }
