--- a/components/node/src/handler.rs
+++ b/components/node/src/handler.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
 use futures::future::BoxFuture;
+use kernel::LimiterMessage;
 use kernel::prelude::*;
 use peers::{DeltasReply, Handler, Message, VmReport};
 
@@ -24,7 +25,11 @@
             }
             Message::Limiter(message) => {
                 let actions = {
-                    let mut limiter = shared.limiter();
+                    let organisation = match &message {
+                        LimiterMessage::Ask { organisation, .. }
+                        | LimiterMessage::Grant { organisation, .. } => organisation.clone(),
+                    };
+                    let mut limiter = shared.limiter_for(&organisation);
                     limiter.receive(now, from, message);
                     limiter.poll(now)
                 };
--- a/components/node/src/loops.rs
+++ b/components/node/src/loops.rs
@@ -14,6 +14,7 @@
 /// Period of the reads of the platform's list. It lags by minutes, so that a faster one finds
 /// little more.
 const LIST_TICK: Duration = Duration::from_secs(5);
+<<<<<<< HEAD
 /// Period of the reports of free slots between the homes of a service.
 const REPORT_TICK: Duration = Duration::from_millis(200);
 /// Period in which the age of the configuration is looked at.
@@ -23,6 +24,10 @@
 /// A tick that is this late tells of a pause of the process.
 const PAUSED: Duration = Duration::from_millis(500);
 /// Period in which idle connections to backend servers are looked for.
+=======
+/// Period in which idle connections to backend servers are looked for and backend servers that are
+/// leaving are asked for news.
+>>>>>>> e2e
 const IDLE_TICK: Duration = Duration::from_secs(5);
 
 fn every(period: Duration) -> tokio::time::Interval {
@@ -119,6 +124,7 @@
                 _ = idle.tick() => {
                     for (_, home) in self.engine().map(|e| e.homes()).unwrap_or_default() {
                         home.close_idle();
+                        home.ask_leaving();
                     }
                 }
             }
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use arc_swap::ArcSwap;
@@ -58,6 +58,8 @@
     /// Backend servers that this VM holds ejected, with the reason and the time.
     ejected: Mutex<HashMap<(ServiceId, BackendId), (EjectReason, Uptime)>>,
     spill: Mutex<Spill>,
+    /// Organisations whose rate the limiter knows. Locked inside of `limiter`.
+    rated: Mutex<HashSet<OrganisationId>>,
     membership: Mutex<Membership>,
     limiter: Mutex<Box<dyn Limiter>>,
     engine: OnceLock<Arc<Engine>>,
@@ -100,6 +102,7 @@
             install: tokio::sync::Mutex::default(),
             ejected: Mutex::default(),
             spill: Mutex::default(),
+            rated: Mutex::default(),
             flags: Flags::default(),
             meters: Meters::new(metrics),
             recent: RecentDeltas::default(),
@@ -135,6 +138,30 @@
         self.limiter.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Organisations whose rate the limiter knows; the caller holds the limiter.
+    pub fn rated(&self) -> MutexGuard<'_, HashSet<OrganisationId>> {
+        self.rated.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The rate limiter, which knows the rate of the organisation.
+    ///
+    /// Rates are given on first use: a limiter that knew all 480,000 would take 50 MB on every VM.
+    pub fn limiter_for(&self, organisation: &str) -> MutexGuard<'_, Box<dyn Limiter>> {
+        let mut limiter = self.limiter();
+        let mut rated = self.rated();
+        if !rated.contains(organisation) {
+            // Read under the lock of the limiter, which a change of the rate takes after it has
+            // put the new configuration in force.
+            let lookup = self.lookup.load();
+            if let Some(found) = lookup.config.organisations.get(organisation) {
+                limiter.set_rate(self.now(), organisation, Some(found.rate));
+                rated.insert(organisation.into());
+            }
+        }
+        drop(rated);
+        limiter
+    }
+
     /// The spill-over to other regions.
     pub fn spill(&self) -> MutexGuard<'_, Spill> {
         self.spill.lock().unwrap_or_else(PoisonError::into_inner)
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -72,6 +72,7 @@
 /// Runs the daemon with logs and traces, which belong to the process as a whole.
 async fn run_observed(settings: Settings) -> anyhow::Result<()> {
     telemetry::init_logs(&settings.log)?;
+    telemetry::event!(SETTINGS_READ);
     let seed = settings.seed.unwrap_or_else(entropy);
     let tracing = telemetry::start_traces(&settings.traces, &settings.vm, seed)?;
     let result = run(settings).await;
@@ -139,7 +140,12 @@
     listener: TcpListener,
     stop: &CancellationToken,
 ) -> anyhow::Result<()> {
-    let tokens = shared.settings.secrets.operator_tokens.iter().map(|t| t.reveal());
+    let tokens = &shared.settings.secrets.operator_tokens;
+    if tokens.is_empty() {
+        // Without a token no operator is authorised, so that nothing is to be served.
+        return Ok(());
+    }
+    let tokens = tokens.iter().map(|t| t.reveal());
     let tokens = operator::Tokens::new(tokens)?;
     let backend = Arc::new(OperatorBackend(Arc::clone(shared)));
     let stop = stop.clone();
--- a/components/proxy/src/entry.rs
+++ b/components/proxy/src/entry.rs
@@ -1,5 +1,7 @@
 use http::{HeaderValue, Response, Uri, header};
+use kernel::VmEntry;
 use kernel::prelude::*;
+use retry::issue_prefix;
 use serde::Serialize;
 
 use crate::body::{Body, full};
@@ -10,9 +12,8 @@
 struct EntryAddress {
     /// Address.
     address: std::net::SocketAddr,
-    /// Prefix of idempotency keys that this VM may run; the caller appends its own text.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    idempotency_prefix: Option<String>,
+    /// Prefix of idempotency keys; the caller appends its own text.
+    idempotency_prefix: Box<str>,
 }
 
 /// The response to an entry request.
@@ -24,6 +25,15 @@
     addresses: Vec<EntryAddress>,
 }
 
+/// Prefix of keys that the VM may run. A VM that this one has not heard yet has no known uptime;
+/// then this VM runs the requests itself and hands them to the home.
+fn prefix(fleet: &dyn Fleet, vm: &VmEntry) -> Box<str> {
+    match fleet.uptime_of(vm.incarnation) {
+        Some(up) => issue_prefix(vm.incarnation, up.as_secs()),
+        None => issue_prefix(fleet.me().incarnation, fleet.now().as_secs()),
+    }
+}
+
 /// Answers which addresses to use for a service, best first.
 pub fn answer(
     fleet: &dyn Fleet,
@@ -52,12 +62,7 @@
     }
     let addresses = vms
         .into_iter()
-        .map(|vm| EntryAddress {
-            address: vm.callers,
-            idempotency_prefix: fleet
-                .uptime_of(vm.incarnation)
-                .map(|up| format!("v1.{:016x}.{}.", vm.incarnation, up.as_secs())),
-        })
+        .map(|vm| EntryAddress { address: vm.callers, idempotency_prefix: prefix(fleet, &vm) })
         .collect();
     let entry = Entry {
         service: service.into(),
--- a/components/proxy/src/run.rs
+++ b/components/proxy/src/run.rs
@@ -165,7 +165,7 @@
     async fn hedge_slot(self: &Arc<Self>, call: &Call, tried: &[BackendId]) -> Option<Slot> {
         /// Longest wait for a slot; a hedge that queues comes too late and takes another's place.
         const WAIT: Duration = Duration::from_millis(5);
-        if !self.with_retries(|budget, _| budget.take("", &call.organisation)) {
+        if !self.with_retries(|budget, _| budget.take_hedge("", &call.organisation)) {
             return None;
         }
         let slot = tokio::time::timeout(WAIT, self.acquire(call, tried)).await;
