--- a/components/node/src/loops.rs
+++ b/components/node/src/loops.rs
@@ -14,7 +14,6 @@
 /// Period of the reads of the platform's list. It lags by minutes, so that a faster one finds
 /// little more.
 const LIST_TICK: Duration = Duration::from_secs(5);
-<<<<<<< HEAD
 /// Period of the reports of free slots between the homes of a service.
 const REPORT_TICK: Duration = Duration::from_millis(200);
 /// Period in which the age of the configuration is looked at.
@@ -23,11 +22,8 @@
 const SHARE_INTERVAL: Duration = Duration::from_secs(10);
 /// A tick that is this late tells of a pause of the process.
 const PAUSED: Duration = Duration::from_millis(500);
-/// Period in which idle connections to backend servers are looked for.
-=======
 /// Period in which idle connections to backend servers are looked for and backend servers that are
 /// leaving are asked for news.
->>>>>>> e2e
 const IDLE_TICK: Duration = Duration::from_secs(5);
 
 fn every(period: Duration) -> tokio::time::Interval {
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -6,14 +6,11 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use kernel::prelude::*;
-<<<<<<< HEAD
+use kernel::{AttemptOutcome, LoadHint};
 use retry::Verdict;
+use serde::Deserialize;
 use telemetry::inject_context;
 use tracing::Span;
-=======
-use kernel::{AttemptOutcome, LoadHint};
-use serde::Deserialize;
->>>>>>> e2e
 
 use crate::body::Body;
 use crate::call::{Call, pass_on};
