Explain requests and show who holds the rates

Explain answered every question with not-found and Status showed no rates. Explain now says of a possible request which route, access, freshness, rate and home it meets, the slots and the standing of the backend servers, and what refuses it first. Of the last 1,024 requests of the VM it tells what became of them. The request id is now the same on every VM: the caller used to get the id that the home made for itself, which neither the entry VM nor the backend server knew. Status reads rights/rate rows, or shows the units held here.

Two faults of Status are repaired with it. The report of a VM waited for the lock of the share ledger, which is held during writes, so that a slow store could make live VMs look silent.

Without the listed VMs, apply_shows_the_difference_and_waits fails: VM 2 is not named.

--- a/components/node/src/fleet.rs
+++ b/components/node/src/fleet.rs
@@ -198,6 +198,7 @@
 
     fn record(&self, record: &RequestRecord) {
         self.0.meters.record(record);
+        self.0.trail.add(self.0.now(), record);
     }
 
     fn used(&self, service: &str, organisation: &str, used: Duration) {
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -4,6 +4,7 @@
 mod bus;
 mod clock;
 mod configuration;
+mod explain;
 mod flags;
 mod fleet;
 mod handler;
@@ -18,6 +19,7 @@
 mod shared;
 mod spill;
 mod start;
+mod trail;
 mod view;
 
 pub use start::{run, start};
--- a/components/node/src/operators.rs
+++ b/components/node/src/operators.rs
@@ -1,24 +1,45 @@
 use std::sync::Arc;
 
+use ::rights::{Entry, Held, ShareRow, right_key};
 use config::{ChangeError, ChangeSet, Committed, FleetConfig, StoreError};
-use futures::future::{BoxFuture, join_all};
-use kernel::VmState;
+use futures::future::{BoxFuture, join_all, try_join_all};
 use kernel::prelude::*;
+use kernel::{VmEntry, VmState};
 use operator::{
-    Applied, Backend, Ejection, ExplainQuery, Explanation, OperatorError, Status, StatusQuery,
-    VmLife, VmStatus,
+    Applied, Backend, Ejection, ExplainQuery, Explanation, FieldFault, OperatorError, RateShare,
+    RateShares, Status, StatusQuery, VmLife, VmStatus,
 };
 use peers::VmReport;
 
+use crate::rights::RATE;
 use crate::shared::Shared;
+use crate::view::View;
 
 /// Serves operators.
 pub struct OperatorBackend(pub Arc<Shared>);
 
+/// Longest wait for the ledger's lock, which is held while the store is written. Below the limit
+/// of calls between VMs, so that a slow store makes no VM look silent.
+const LEDGER_WAIT: Duration = Duration::from_millis(250);
+
+/// Longest wait for the store in a status, so that one is also shown while the store is slow.
+const STORE_WAIT: Duration = Duration::from_secs(2);
+
+/// Most organisations whose rate shares are read at once: 3% of the reads that the store handles
+/// in a second.
+const MAX_RATES: usize = 64;
+
 impl Shared {
+    /// Rights that this VM holds, with their kinds and names; none if the store is being written
+    /// for long.
+    pub async fn held_units(&self) -> Option<Vec<(Box<str>, Box<str>, Held)>> {
+        let holder = tokio::time::timeout(LEDGER_WAIT, self.holder.lock()).await.ok()?;
+        Some(holder.held())
+    }
+
     /// State of this VM for another one.
     pub async fn report(self: &Arc<Self>) -> VmReport {
-        let held = self.holder.lock().await.held();
+        let held = self.held_units().await.unwrap_or_default();
         VmReport {
             vm: self.me.vm.clone(),
             incarnation: self.me.incarnation,
@@ -72,7 +93,8 @@
         });
     }
 
-    async fn status(self: &Arc<Self>) -> Status {
+    async fn status(self: &Arc<Self>, query: &StatusQuery) -> Result<Status, OperatorError> {
+        let rates = self.rate_shares(&query.organisations).await?;
         let view = self.view.load_full();
         let others = view.vms.iter().filter(|vm| vm.incarnation != self.me.incarnation);
         let asked = others.map(|vm| async move { (vm.clone(), self.peers.report(vm.peers).await) });
@@ -109,15 +131,88 @@
                 }
             })
             .collect();
+        vms.extend(self.list_silent(&view).await);
         vms.sort_by(|a, b| a.vm.cmp(&b.vm));
-        Status {
+        Ok(Status {
             vm: self.me.vm.clone(),
             version: self.version(),
             store_reachable: !self.flags.store_away(),
             vms,
             ejections,
-            rates: Vec::new(),
+            rates,
+        })
+    }
+
+    /// VMs that the platform lists and this VM takes for dead. They may be paused or cut off, and
+    /// an operator who waits for a version has to know of them.
+    async fn list_silent(&self, view: &View) -> Vec<VmStatus> {
+        let list = tokio::time::timeout(STORE_WAIT, self.platform.vms.list()).await;
+        let Ok(Ok(mut list)) = list else { return Vec::new() };
+        // A VM that was started again under its name is shown by its new incarnation alone.
+        list.retain(|listed| {
+            listed.state == VmState::Live && view.vms.iter().all(|vm| vm.vm != listed.vm)
+        });
+        let silent = |vm: VmEntry| VmStatus {
+            vm: vm.vm,
+            place: vm.place,
+            incarnation: vm.incarnation,
+            life: VmLife::Silent,
+            version: 0,
+            freshness: None,
+        };
+        list.into_iter().map(silent).collect()
+    }
+
+    /// Who holds the rates of these organisations; of none, what this VM holds.
+    async fn rate_shares(
+        &self,
+        organisations: &[OrganisationId],
+    ) -> Result<Vec<RateShares>, OperatorError> {
+        if organisations.is_empty() {
+            let held = self.held_units().await.unwrap_or_default();
+            let own = held.into_iter().filter(|(kind, _, held)| &**kind == RATE && held.units > 0);
+            return Ok(own
+                .map(|(_, organisation, held)| {
+                    let entry = Entry { holder: self.me.incarnation, units: held.units };
+                    let shares = vec![self.share(entry)];
+                    RateShares { organisation, total: held.total, shares }
+                })
+                .collect());
+        }
+        if organisations.len() > MAX_RATES {
+            let message = format!("more than {MAX_RATES} organisations; ask for some at a time");
+            let (path, message) = ("organisations".into(), message.into());
+            return Err(OperatorError::Invalid(vec![FieldFault { path, message }]));
         }
+        try_join_all(organisations.iter().map(|id| self.read_shares(id))).await
+    }
+
+    async fn read_shares(
+        &self,
+        organisation: &OrganisationId,
+    ) -> Result<RateShares, OperatorError> {
+        let key = right_key(RATE, organisation);
+        let read = tokio::time::timeout(STORE_WAIT, self.platform.table.read(&key)).await;
+        let Ok(Ok(row)) = read else {
+            let text = "the store does not tell who holds the rates; retry later, or leave out the \
+                        organisations to see the rest of the status";
+            return Err(OperatorError::Unavailable(text.into()));
+        };
+        let row = match row {
+            // Nobody has claimed a unit yet.
+            None => ShareRow::new(limiter::RATE_UNITS),
+            Some(row) => serde_json::from_str(&row.value).map_err(|error| {
+                let text = format!("row {key} cannot be read ({error}); repair the row");
+                OperatorError::Internal(text.into())
+            })?,
+        };
+        let shares = row.entries.into_iter().map(|entry| self.share(entry)).collect();
+        Ok(RateShares { organisation: organisation.clone(), total: row.total, shares })
+    }
+
+    fn share(&self, Entry { holder, units }: Entry) -> RateShare {
+        let vm = self.membership().find(holder).map(|entry| entry.vm.clone());
+        RateShare { incarnation: holder, vm, units }
     }
 }
 
@@ -144,12 +239,11 @@
         Box::pin(async move { Ok(config) })
     }
 
-    fn status(&self, _query: StatusQuery) -> BoxFuture<'_, Result<Status, OperatorError>> {
-        Box::pin(async move { Ok(self.0.status().await) })
+    fn status(&self, query: StatusQuery) -> BoxFuture<'_, Result<Status, OperatorError>> {
+        Box::pin(async move { self.0.status(&query).await })
     }
 
-    fn explain(&self, _query: ExplainQuery) -> BoxFuture<'_, Result<Explanation, OperatorError>> {
-        let error = OperatorError::NotFound("this VM has not seen the request; ask another".into());
-        Box::pin(async move { Err(error) })
+    fn explain(&self, query: ExplainQuery) -> BoxFuture<'_, Result<Explanation, OperatorError>> {
+        Box::pin(self.0.explain(query))
     }
 }
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -21,6 +21,7 @@
 use crate::recent::RecentDeltas;
 use crate::rights::ClaimRequest;
 use crate::spill::Spill;
+use crate::trail::Trail;
 use crate::view::View;
 
 /// State of one VM that its tasks share.
@@ -41,6 +42,8 @@
     pub lookup: ArcSwap<Lookup>,
     /// Deltas for VMs that are behind.
     pub recent: RecentDeltas,
+    /// The last requests of this VM.
+    pub trail: Trail,
     /// VMs taken for live.
     pub view: ArcSwap<View>,
     /// Platform.
@@ -106,6 +109,7 @@
             flags: Flags::default(),
             meters: Meters::new(metrics),
             recent: RecentDeltas::default(),
+            trail: Trail::default(),
             engine: OnceLock::new(),
             settings,
             clock,
--- /dev/null
+++ b/components/node/src/trail.rs
@@ -0,0 +1,121 @@
+use std::collections::VecDeque;
+use std::sync::{Mutex, PoisonError};
+
+use kernel::prelude::*;
+use operator::{ExplainStep, Explanation};
+use proxy::{Answerer, RequestRecord};
+use telemetry::RequestOutcome;
+
+/// Requests kept. Bounded, so that memory does not grow with the traffic.
+const KEPT: usize = 1024;
+
+/// What is kept of a request. It names no key.
+#[derive(Clone, Debug)]
+struct Seen {
+    id: Box<str>,
+    route: RouteId,
+    service: ServiceId,
+    organisation: OrganisationId,
+    forwarded: bool,
+    refusal: Option<RefusalKind>,
+    outcome: RequestOutcome,
+    answerer: Option<Answerer>,
+    took: Duration,
+    attempt: Option<Duration>,
+    /// When the head of its response was ready.
+    ended: Uptime,
+}
+
+/// The last requests of this VM.
+#[derive(Debug, Default)]
+pub struct Trail {
+    /// The newest one last. At most [`KEPT`].
+    requests: Mutex<VecDeque<Seen>>,
+}
+
+impl Trail {
+    /// Adds a finished request.
+    pub fn add(&self, now: Uptime, record: &RequestRecord) {
+        if record.route.is_empty() && record.refusal.is_none() {
+            // An entry response; callers ask for them all the time.
+            return;
+        }
+        let seen = Seen {
+            id: record.id.clone(),
+            route: record.route.clone(),
+            service: record.service.clone(),
+            organisation: record.organisation.clone(),
+            forwarded: record.forwarded,
+            refusal: record.refusal,
+            outcome: record.outcome,
+            answerer: record.answerer.clone(),
+            took: record.took,
+            attempt: record.attempt,
+            ended: now,
+        };
+        let mut requests = self.requests.lock().unwrap_or_else(PoisonError::into_inner);
+        if requests.len() == KEPT {
+            requests.pop_front();
+        }
+        requests.push_back(seen);
+    }
+
+    /// Explains the request with this id, if it is among those kept. One that came to this VM
+    /// twice, because its next VM sent it back, is explained in both parts.
+    pub fn explain(&self, now: Uptime, vm: &str, id: &str) -> Option<Explanation> {
+        let requests = self.requests.lock().unwrap_or_else(PoisonError::into_inner);
+        let parts: Vec<&Seen> = requests.iter().filter(|seen| &*seen.id == id).collect();
+        // The part that the caller sees ends last.
+        let last = parts.last()?;
+        Some(Explanation {
+            route: named(&last.route),
+            service: named(&last.service),
+            outcome: last.outcome_text(),
+            steps: parts.iter().rev().flat_map(|seen| seen.steps(now, vm)).collect(),
+        })
+    }
+}
+
+fn named(name: &str) -> Option<Box<str>> {
+    (!name.is_empty()).then(|| name.into())
+}
+
+impl Seen {
+    fn outcome_text(&self) -> Box<str> {
+        let outcome = self.outcome.as_str();
+        match self.refusal {
+            Some(kind) => format!("{kind} ({outcome})").into(),
+            None => outcome.into(),
+        }
+    }
+
+    fn steps(&self, now: Uptime, vm: &str) -> Vec<ExplainStep> {
+        let step = |after, text: String| ExplainStep {
+            after: Some(after),
+            vm: vm.into(),
+            text: text.into(),
+        };
+        let from = if self.forwarded { "another VM" } else { "its caller" };
+        let age = now.saturating_sub(self.ended) + self.took;
+        let age_s = age.as_secs_f64();
+        let whom = match &*self.organisation {
+            "" => "for no organisation".to_owned(),
+            organisation => format!("for organisation {organisation}"),
+        };
+        let mut steps =
+            vec![step(Duration::ZERO, format!("came from {from} {age_s:.1} s ago, {whom}"))];
+        match &self.answerer {
+            Some(Answerer::Backend(backend)) => {
+                let sent = self.took.saturating_sub(self.attempt.unwrap_or_default());
+                steps.push(step(sent, format!("sent to backend server {backend}")));
+            }
+            Some(Answerer::Vm(other)) => {
+                let text = format!("forwarded to VM {other}, which answered; ask it for more");
+                steps.push(step(Duration::ZERO, text));
+            }
+            None => {}
+        }
+        steps.push(step(self.took, format!("response began: {}", self.outcome_text())));
+        steps
+    }
+}
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -20,6 +20,7 @@
     BACKEND_DEADLINE_HEADER, NOT_RUN_HEADER, ORGANISATION_HEADER, REQUEST_ID_HEADER,
 };
 use crate::pool::{Connection, Pool};
+use crate::record::Answerer;
 use crate::slot::Slot;
 
 /// An idempotent request may use a connection that has been idle for this long.
@@ -181,6 +182,7 @@
         head.headers.insert(header::CONTENT_LENGTH, length);
     }
     head.extensions.insert(AttemptTime(took));
+    head.extensions.insert(Answerer::Backend(slot.backend.clone()));
     let watch = SlotWatch { slot, connection, failed };
     Ok(Response::from_parts(head, Watched::new(body, watch).boxed_unsync()))
 }
--- a/components/proxy/src/engine.rs
+++ b/components/proxy/src/engine.rs
@@ -121,7 +121,8 @@
         B::Error: std::fmt::Display,
     {
         let id: Box<str> = format!("{:016x}", self.fleet.random()).into();
-        let mut record = RequestRecord::new(Forwarder::is_forwarded(request.headers()));
+        let forwarded = Forwarder::is_forwarded(request.headers());
+        let mut record = RequestRecord::new(id.clone(), forwarded);
         let start = self.fleet.now();
         let result = self.answer(request, &id, &mut record).await;
         let mut response = match result {
@@ -131,7 +132,7 @@
                 refuse(&refusal)
             }
         };
-        if let Ok(value) = HeaderValue::from_str(&id) {
+        if let Ok(value) = HeaderValue::from_str(&record.id) {
             response.headers_mut().entry(REQUEST_ID_HEADER).or_insert(value);
         }
         record.finish(&response, self.fleet.now().saturating_sub(start));
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -31,5 +31,5 @@
     PROOF_HEADER, REQUEST_ID_HEADER,
 };
 pub use home::{Home, HomeOptions};
-pub use record::RequestRecord;
+pub use record::{Answerer, RequestRecord};
 pub use server::{ServerOptions, serve};
--- a/components/proxy/src/record.rs
+++ b/components/proxy/src/record.rs
@@ -8,9 +8,22 @@
 use crate::body::Body;
 use crate::call::Call;
 
+/// What answered a request; an extension of the response.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Answerer {
+    /// A backend server that this VM sent it to.
+    Backend(BackendId),
+    /// Another VM that this VM forwarded it to.
+    Vm(VmId),
+}
+
 /// What is recorded of a finished request. It names no key.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RequestRecord {
+    /// Id that callers and backend servers see; the same on every VM that the request came to.
+    pub id: Box<str>,
+    /// Route, if one matched.
+    pub route: RouteId,
     /// Service, if a route matched.
     pub service: ServiceId,
     /// Organisation; empty on open routes.
@@ -25,14 +38,18 @@
     pub outcome: RequestOutcome,
     /// Time of the attempt that answered; none if it ran on another VM or is not known.
     pub attempt: Option<Duration>,
+    /// What answered; none if this VM did.
+    pub answerer: Option<Answerer>,
     /// Span of the request; none if it had no route.
     pub span: Span,
 }
 
 impl RequestRecord {
     /// The record of a request of which nothing is known yet.
-    pub fn new(forwarded: bool) -> Self {
+    pub fn new(id: Box<str>, forwarded: bool) -> Self {
         RequestRecord {
+            id,
+            route: RouteId::default(),
             service: ServiceId::default(),
             organisation: OrganisationId::default(),
             refusal: None,
@@ -40,12 +57,15 @@
             took: Duration::ZERO,
             outcome: RequestOutcome::Unknown,
             attempt: None,
+            answerer: None,
             span: Span::none(),
         }
     }
 
     /// Takes over what the request is.
     pub fn identify(&mut self, call: &Call) {
+        self.id = call.id.clone();
+        self.route = call.route.clone();
         self.service = call.service.clone();
         self.organisation = call.organisation.clone();
         self.span = call.span.clone();
@@ -61,6 +81,7 @@
             None => RequestOutcome::Answered,
         };
         self.attempt = response.extensions().get().map(|AttemptTime(time)| *time);
+        self.answerer = response.extensions().get().cloned();
         self.span.record("outcome", self.outcome.as_str());
     }
 }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -17,6 +17,8 @@
 const LIMIT: Duration = Duration::from_secs(60);
 /// Time after which a withdrawn key may not work on any VM.
 const IN_FORCE: Duration = Duration::from_secs(5);
+/// Time after which the other VMs of a small fleet take a paused one for dead.
+const DEAD: Duration = Duration::from_secs(8);
 const VMS: usize = 3;
 
 async fn start() -> anyhow::Result<Fleet> {
@@ -28,10 +30,12 @@
     // has accepted one, a refusal fails the test.
     let start = Instant::now();
     for vm in 0..VMS {
-        let line = format!("organisation create first-{vm} --rate 10 --burst 10");
+        let line = format!("--json organisation create first-{vm} --rate 10 --burst 10");
         loop {
             let done = run(&fleet, vm, &line).await?;
             if done.code == 0 {
+                let version = done.json()?["version"].as_u64().context("no version")?;
+                fleet.wait_version(version).await?;
                 break;
             }
             ensure!([3, 5].contains(&done.code), "code {}: {}", done.code, done.err);
@@ -180,20 +184,28 @@
     run(&fleet, 0, &format!("apply {}", file.display())).await?.check(2, "--yes")?;
     ensure!(done(&fleet, 0, "status").await?["version"].as_u64() == newest, "it was applied");
 
-    // A VM that is stopped in its tracks is not counted as having the version.
-    let frozen = fleet.vms[2].as_ref().context("VM 2 does not run")?;
-    frozen.signal("STOP")?;
-    let line = format!("--json apply {} --wait --time-limit 20 --yes", file.display());
-    let waited = run(&fleet, 0, &line).await?;
-    frozen.signal("CONT")?;
-    let progress = waited.json()?["progress"].clone();
-    let names = |list: &str| progress[list].as_array().is_some_and(|l| l.contains(&json!("vm-2")));
-    match waited.code {
-        0 => ensure!(names("silent"), "VM 2 is not named: {progress}"),
-        4 => ensure!(names("behind"), "VM 2 is not named: {progress}"),
-        code => anyhow::bail!("exit code {code}: {progress} {}", waited.err),
+    // A paused VM is not counted as having the version, neither at first nor when the others take
+    // it for dead.
+    let paused = fleet.vms[2].as_ref().context("VM 2 does not run")?;
+    paused.signal("STOP")?;
+    for (name, dead) in [("nytt", false), ("sent", true)] {
+        if dead {
+            tokio::time::sleep(DEAD).await;
+        }
+        let file = desire(&fleet, name).await?;
+        let line = format!("--json apply {} --wait --time-limit 20 --yes", file.display());
+        let waited = run(&fleet, 0, &line).await?;
+        let progress = waited.json()?["progress"].clone();
+        let named =
+            |list: &str| progress[list].as_array().is_some_and(|vms| vms.contains(&json!("vm-2")));
+        match waited.code {
+            0 => ensure!(named("silent"), "{name}: VM 2 is not named: {progress}"),
+            4 => ensure!(named("behind"), "{name}: VM 2 is not named: {progress}"),
+            code => anyhow::bail!("{name}: exit code {code}: {progress} {}", waited.err),
+        }
+        ensure!(progress["ready"] == 2, "{name}: {progress}");
     }
-    ensure!(progress["ready"] == 2, "{progress}");
+    paused.signal("CONT")?;
     Ok(())
 }
 
@@ -233,3 +245,59 @@
     run(&fleet, 1, "status").await?.check(5, "ask another VM")?;
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn explain_and_status_tell_what_the_fleet_does() -> anyhow::Result<()> {
+    let _one = ONE.lock().await;
+    let fleet = start().await?;
+    create(&fleet).await?;
+    let probe = "explain --path /manus/text --organisation radio-umea";
+    let keyless = done(&fleet, 0, probe).await?;
+    ensure!(keyless["outcome"] == "key-unknown (not-run)", "{keyless}");
+    let issued = done(&fleet, 0, "key issue radio-umea").await?;
+    let key = issued["key"].as_str().context("no key")?;
+    fleet.wait_version(issued["version"].as_u64().context("no version")?).await?;
+    for (line, outcome) in [
+        (probe, "would run"),
+        ("explain --path /manus/text", "key-missing (not-run)"),
+        ("explain --path /none", "route-unknown (not-run)"),
+    ] {
+        let told = done(&fleet, 1, line).await?;
+        ensure!(told["outcome"] == outcome, "{line}: {told}");
+    }
+
+    // The id that the caller gets is known on the VM it asked, whichever VM ran the request.
+    for vm in 0..VMS {
+        let reply = ask(&fleet, vm, key).await?;
+        ensure!(reply.status == 200, "{reply:?}");
+        let id = reply.header("x-request-id").to_owned();
+        let told = done(&fleet, vm, &format!("explain {id}")).await?;
+        ensure!(told["outcome"] == "answered" && told["route"] == "manus", "{told}");
+        let steps = told["steps"].to_string();
+        ensure!(steps.contains("backend server b") || steps.contains("forwarded to VM"), "{told}");
+        ensure!(!told.to_string().contains(key), "the explanation has the key");
+    }
+    run(&fleet, 0, "explain no-such-id").await?.check(1, "ask the VM")?;
+
+    // One VM at least knows the home's backend servers, and the whole fleet the organisation's
+    // units.
+    let mut standings = 0;
+    for vm in 0..VMS {
+        let told = done(&fleet, vm, probe).await?["steps"].to_string();
+        standings += usize::from(told.contains("usable slots") && told.contains("takes work"));
+    }
+    ensure!(standings > 0, "no VM tells the standing of backend servers");
+    let status = done(&fleet, 0, "status --organisation radio-umea").await?;
+    let rate = &status["rates"][0];
+    let shares = rate["shares"].as_array().context("no shares")?;
+    let held: u64 = shares.iter().filter_map(|share| share["units"].as_u64()).sum();
+    ensure!(rate["total"] == 16 && (1..=16).contains(&held), "{rate}");
+    ensure!(shares.iter().all(|share| share["vm"].is_string()), "{rate}");
+    let mut own = 0;
+    for vm in 0..VMS {
+        let status = done(&fleet, vm, "status").await?;
+        own += status["rates"].as_array().context("no rates")?.len();
+    }
+    ensure!(own > 0, "no VM tells its own units");
+    Ok(())
+}
