--- a/components/operator/src/client.rs
+++ b/components/operator/src/client.rs
@@ -10,6 +10,7 @@
 use tonic::{Code, Request};
 
 use crate::detail::read_kind;
+use crate::proto::EntryKind;
 use crate::proto::operator_client::OperatorClient;
 use crate::{
     Applied, ExplainQuery, Explanation, FieldFault, OperatorError, Status, StatusQuery, TokenError,
@@ -112,7 +113,13 @@
 
     /// Reads the configuration.
     pub async fn config(&mut self) -> Result<FleetConfig, OperatorError> {
-        let request = proto::GetConfigRequest::default();
+        self.config_of(&[]).await
+    }
+
+    /// Reads the entries of these kinds, with the version; no kind reads all.
+    pub async fn config_of(&mut self, kinds: &[EntryKind]) -> Result<FleetConfig, OperatorError> {
+        let kinds = kinds.iter().map(|kind| (*kind).into()).collect();
+        let request = proto::GetConfigRequest { kinds };
         let mut parts = self.inner.get_config(request).await?.into_inner();
         let mut config = FleetConfig::default();
         while let Some(part) = parts.message().await? {
--- a/components/operator/src/gen/papayareel.v1.rs
+++ b/components/operator/src/gen/papayareel.v1.rs
@@ -431,7 +431,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum EntryKind {
-    /// Not used.
+    /// No entry has this kind; reads the version alone.
     Unspecified = 0,
     /// Organisations.
     Organisation = 1,
--- a/components/operator/src/lib.rs
+++ b/components/operator/src/lib.rs
@@ -25,6 +25,7 @@
 pub use error::{FieldFault, OperatorError};
 pub use explain::{ExplainQuery, ExplainStep, Explanation};
 pub use progress::Progress;
+pub use proto::EntryKind;
 pub use secrets::Secrets;
 pub use server::serve;
 pub use status::{
--- a/components/operator/tests/suite/rpc.rs
+++ b/components/operator/tests/suite/rpc.rs
@@ -2,7 +2,7 @@
 
 use config::{Change, ChangeSet, FleetConfig, Organisation, Service, digest_key};
 use kernel::{BackendLimits, BackendSpec, Place, Rate};
-use operator::{Client, ExplainQuery, OperatorError, StatusQuery};
+use operator::{Client, EntryKind, ExplainQuery, OperatorError, StatusQuery};
 
 use crate::fleet::{Running, TOKEN, explanation, status};
 
@@ -116,6 +116,14 @@
     let expected = config::apply(&FleetConfig::default(), &change).unwrap().0;
     client.apply(&change).await.unwrap();
     assert_eq!(client.config().await.unwrap(), expected);
+    // A reading of some kinds has their entries alone, and always the version to build on.
+    let organisations = client.config_of(&[EntryKind::Organisation]).await.unwrap();
+    let version = expected.version;
+    let kept = expected.organisations.clone();
+    let part = FleetConfig { version, organisations: kept, ..FleetConfig::default() };
+    assert_eq!(organisations, part);
+    let none = client.config_of(&[EntryKind::Unspecified]).await.unwrap();
+    assert_eq!(none, FleetConfig { version, ..FleetConfig::default() });
 
     let query = StatusQuery { organisations: vec!["org-1".into()] };
     assert_eq!(client.status(query.clone()).await.unwrap(), status(&query));
--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -45,7 +45,7 @@
     let name = args.file.display();
     let desired = DesiredState::parse(read_file(&args.file)?.as_bytes())
         .map_err(|e| UsageError::error(format!("{name}: {e}")))?;
-    let current = session.config().await?;
+    let current = session.config(&[]).await?;
     let changes = diff(&current, &desired.over(&current));
     // The difference goes to the standard error stream, so that --json stays readable.
     eprint!("{}", Rendering { current: &current, changes: &changes });
--- a/src/cmd/key.rs
+++ b/src/cmd/key.rs
@@ -3,7 +3,7 @@
 use anyhow::{Context, Result};
 use argh::FromArgs;
 use config::{Change, KeyDigest, digest_key};
-use operator::OperatorError;
+use operator::{EntryKind, OperatorError};
 use serde::Serialize;
 
 use super::Session;
@@ -77,7 +77,7 @@
 }
 
 async fn issue(session: &mut Session, organisation: String) -> Result<ExitCode> {
-    let config = session.config().await?;
+    let config = session.config(&[EntryKind::Organisation]).await?;
     if !config.organisations.contains_key(&*organisation) {
         return Err(missing("organisation", &organisation));
     }
@@ -100,7 +100,8 @@
 async fn withdraw(session: &mut Session, digest: KeyDigest) -> Result<ExitCode> {
     let mut tries = 1;
     loop {
-        let config = session.config().await?;
+        // Only the version is needed.
+        let config = session.config(&[EntryKind::Unspecified]).await?;
         let result = session.commit_one(&config, Change::WithdrawKey { digest }).await;
         match result {
             Err(error)
@@ -118,7 +119,7 @@
 }
 
 async fn list(session: &mut Session, args: List) -> Result<ExitCode> {
-    let mut keys = session.config().await?.keys;
+    let mut keys = session.config(&[EntryKind::Key]).await?.keys;
     let wanted =
         |organisation: &str| args.organisation.as_deref().is_none_or(|o| o == organisation);
     keys.retain(|_, key| (args.withdrawn || !key.withdrawn) && wanted(&key.organisation));
--- a/src/cmd/organisation.rs
+++ b/src/cmd/organisation.rs
@@ -5,6 +5,7 @@
 use argh::FromArgs;
 use config::{Change, Organisation};
 use kernel::Rate;
+use operator::EntryKind;
 
 use super::Session;
 use super::session::{check_create, missing};
@@ -74,7 +75,12 @@
 
 /// Runs the subcommand.
 pub async fn run(session: &mut Session, args: Args) -> Result<ExitCode> {
-    let config = session.config().await?;
+    // Only lists show the number of keys.
+    let kinds: &[EntryKind] = match args.action {
+        Action::List(_) | Action::Show(_) => &[EntryKind::Organisation, EntryKind::Key],
+        Action::Create(_) | Action::Remove(_) => &[EntryKind::Organisation],
+    };
+    let config = session.config(kinds).await?;
     let row = |id: &str, organisation: &Organisation| {
         let Organisation { rate: Rate { per_second, burst }, weight } = organisation;
         let owned = config.keys.values().filter(|key| !key.withdrawn && *key.organisation == *id);
--- a/src/cmd/route.rs
+++ b/src/cmd/route.rs
@@ -5,6 +5,7 @@
 use anyhow::Result;
 use argh::FromArgs;
 use config::{Change, Route};
+use operator::EntryKind;
 
 use super::Session;
 use super::session::{check_create, missing};
@@ -115,7 +116,7 @@
 
 /// Runs the subcommand.
 pub async fn run(session: &mut Session, args: Args) -> Result<ExitCode> {
-    let config = session.config().await?;
+    let config = session.config(&[EntryKind::Route]).await?;
     match args.action {
         Action::Create(create) => {
             let boxed = |words: Vec<String>| words.into_iter().map(Into::into).collect();
--- a/src/cmd/service.rs
+++ b/src/cmd/service.rs
@@ -6,6 +6,7 @@
 use argh::FromArgs;
 use config::{Change, Service};
 use kernel::{BackendLimits, BackendSpec, Place};
+use operator::EntryKind;
 
 use super::Session;
 use super::session::{check_create, missing};
@@ -100,7 +101,7 @@
 
 /// Runs the subcommand.
 pub async fn run(session: &mut Session, args: Args) -> Result<ExitCode> {
-    let config = session.config().await?;
+    let config = session.config(&[EntryKind::Service]).await?;
     match args.action {
         Action::Create(create) => {
             let id: Box<str> = create.id.into();
--- a/src/cmd/session.rs
+++ b/src/cmd/session.rs
@@ -5,7 +5,7 @@
 
 use anyhow::{Context, Result, bail};
 use config::{Change, ChangeSet, FleetConfig};
-use operator::{Applied, Client, OperatorError, Secrets};
+use operator::{Applied, Client, EntryKind, OperatorError, Secrets};
 use serde::{Deserialize, Serialize};
 
 use crate::cli::Args;
@@ -86,9 +86,9 @@
         Ok(self.client.insert(client))
     }
 
-    /// Reads the configuration.
-    pub async fn config(&mut self) -> Result<FleetConfig, OperatorError> {
-        self.client().await?.config().await
+    /// Reads the entries of these kinds, with the version; no kind reads the whole configuration.
+    pub async fn config(&mut self, kinds: &[EntryKind]) -> Result<FleetConfig, OperatorError> {
+        self.client().await?.config_of(kinds).await
     }
 
     /// Applies changes on top of the version that the operator saw.
