--- a/components/node/src/bus.rs
+++ b/components/node/src/bus.rs
@@ -10,6 +10,10 @@
 use crate::shared::Shared;
 use crate::view::View;
 
+/// VMs that are told of a new version at once. All of a fleet of today's size; in a larger one the
+/// 16 KB/s of control would not bear more.
+const MOST_TOLD: usize = 64;
+
 impl Shared {
     /// Delivers messages to a VM without waiting. A message that is lost is not sent again: every
     /// protocol above has its own repeats.
@@ -25,12 +29,13 @@
         });
     }
 
-    /// Sends a message to every other live VM.
+    /// Sends a message to other live VMs, at most `MOST_TOLD`; pings tell the rest of a larger
+    /// fleet.
     pub fn broadcast(self: &Arc<Self>, message: &Message) {
-        for vm in &self.view.load().vms {
-            if vm.incarnation != self.me.incarnation {
-                self.send(vm.peers, vec![message.clone()]);
-            }
+        let view = self.view.load();
+        let others = view.vms.iter().filter(|vm| vm.incarnation != self.me.incarnation);
+        for vm in others.take(MOST_TOLD) {
+            self.send(vm.peers, vec![message.clone()]);
         }
     }
 
--- a/components/node/src/rights.rs
+++ b/components/node/src/rights.rs
@@ -104,14 +104,12 @@
         for (id, home) in engine.homes() {
             let Some(service) = lookup.config.services.get(&id) else { continue };
             let all = service.backends.len();
-            let local = service.backends.iter().filter(|b| b.place.region == *region);
-            let local_all = local.clone().count();
-            let draining = local.filter(|b| b.draining).count();
+            let local = service.backends.iter().filter(|b| b.place.region == *region).count();
             let floor = (service.floor * all as f64).ceil() as usize;
             let total = all.saturating_sub(floor);
             // Regions get rights in proportion to their backend servers, so that the home of one
             // region cannot take them all.
-            let share = (total * local_all).checked_div(all).unwrap_or(0);
+            let share = (total * local).checked_div(all).unwrap_or(0);
             let is_home = view
                 .homes(&id, region)
                 .first()
@@ -125,7 +123,7 @@
                 .map_or(0, |(_, _, held)| held.units);
             let (want, total) = (to_units(want), to_units(total));
             if want < held {
-                home.set_budget((want as usize).saturating_sub(draining));
+                home.set_budget(want as usize);
                 match holder.release(EJECT, &id, want).await {
                     Ok(_) => {
                         telemetry::event!(RIGHTS_RETURNED, kind = EJECT, id = id, units = want);
@@ -144,7 +142,7 @@
                     Err(error) => note_unchanged(EJECT, &id, &error),
                 }
             }
-            home.set_budget((units as usize).saturating_sub(draining));
+            home.set_budget(units as usize);
         }
     }
 
