Ask other VMs whether they reach a backend server, and split the home

Change: after a failed probe the next two VMs of the ranking probe the backend server and tell the home; the home's state, its crash guard and its actions have files of their own; the seven events are gone.

--- a/components/node/src/bus.rs
+++ b/components/node/src/bus.rs
@@ -39,6 +39,24 @@
         }
     }
 
+    /// Probes a backend server for another VM, which probes only after its own probe has failed.
+    pub fn answer_reach(self: &Arc<Self>, to: Incarnation, service: ServiceId, backend: BackendId) {
+        let lookup = self.lookup.load();
+        let spec = lookup
+            .config
+            .services
+            .get(&service)
+            .and_then(|s| s.backends.iter().find(|b| b.id == backend));
+        let (Some(spec), Some(vm)) = (spec, self.view.load().vm(to).cloned()) else {
+            return;
+        };
+        let (shared, address) = (Arc::clone(self), spec.address);
+        tokio::spawn(async move {
+            let reachable = proxy::reaches(address).await;
+            shared.send(vm.peers, vec![Message::Reach(service, backend, reachable)]);
+        });
+    }
+
     /// Does what the rate limiter wants done.
     pub fn act_limiter(self: &Arc<Self>, actions: Vec<LimiterAction>) {
         let view = self.view.load();
--- a/components/node/src/fleet.rs
+++ b/components/node/src/fleet.rs
@@ -121,6 +121,17 @@
         }
     }
 
+    fn ask_reach(&self, service: &str, backend: &str) {
+        let region = &self.0.me.place.region;
+        // The next in the ranking know the service best; two answers are enough for a doubt.
+        let others = self.0.view.load().homes(service, region);
+        let others = others.iter().filter(|vm| vm.incarnation != self.0.me.incarnation);
+        for vm in others.take(2) {
+            let ask = Message::ReachAsk(service.into(), backend.into());
+            self.0.send(vm.peers, vec![ask]);
+        }
+    }
+
     fn spill(&self, service: &str, weight: f64, bytes: usize) -> Option<VmEntry> {
         let now = self.0.now();
         let view = self.0.view.load();
--- a/components/node/src/handler.rs
+++ b/components/node/src/handler.rs
@@ -1,8 +1,8 @@
 use std::sync::Arc;
 
 use futures::future::BoxFuture;
-use kernel::LimiterMessage;
 use kernel::prelude::*;
+use kernel::{BackendEvent, LimiterMessage};
 use peers::{DeltasReply, Handler, Message, VmReport};
 
 use crate::shared::Shared;
@@ -46,6 +46,12 @@
                     home.receive_crash(from, message);
                 }
             }
+            Message::ReachAsk(service, backend) => shared.answer_reach(from, service, backend),
+            Message::Reach(service, backend, reachable) => {
+                if let Some(home) = shared.engine().and_then(|e| e.home(&service).ok()) {
+                    home.observe(&BackendEvent::PeerReach { backend, reachable });
+                }
+            }
             Message::FreeSlots(service, free) => {
                 shared.spill().note(now, &service, from, free);
             }
--- a/components/peers/src/message.rs
+++ b/components/peers/src/message.rs
@@ -18,6 +18,10 @@
     NewVersion(Version),
     /// Free slots of a service in the sender's region, as its home counts them.
     FreeSlots(ServiceId, u32),
+    /// Asks whether the receiver reaches a backend server of a service.
+    ReachAsk(ServiceId, BackendId),
+    /// Whether the sender reaches a backend server of a service.
+    Reach(ServiceId, BackendId, bool),
 }
 
 /// A message as it travels. A receiver skips topics that it does not know, so that two releases
@@ -68,6 +72,8 @@
             Message::Crash(s, m) => ("crash/1", serde_json::to_value((s, m))),
             Message::NewVersion(v) => ("new-version/1", serde_json::to_value(v)),
             Message::FreeSlots(s, n) => ("free-slots/1", serde_json::to_value((s, n))),
+            Message::ReachAsk(s, b) => ("reach-ask/1", serde_json::to_value((s, b))),
+            Message::Reach(s, b, r) => ("reach/1", serde_json::to_value((s, b, r))),
         };
         // The types of messages have no map with keys other than text, so that this cannot fail.
         RawMessage { topic: topic.into(), body: body.unwrap_or_default() }
@@ -87,6 +93,8 @@
             "limiter/1" => read(raw).map(Message::Limiter),
             "crash/1" => read(raw).map(|(s, m)| Message::Crash(s, m)),
             "new-version/1" => read(raw).map(Message::NewVersion),
+            "reach-ask/1" => read(raw).map(|(s, b)| Message::ReachAsk(s, b)),
+            "reach/1" => read(raw).map(|(s, b, r)| Message::Reach(s, b, r)),
             "free-slots/1" => read(raw).map(|(s, n)| Message::FreeSlots(s, n)),
             _ => Err(MessageError::Topic(raw.topic)),
         }
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -209,6 +210,11 @@
     }
 }
 
+/// Whether a backend server answers on a connection of its own.
+pub async fn reaches(address: SocketAddr) -> bool {
+    probe(&Pool::new(address)).await.0
+}
+
 /// Asks the health endpoint. Returns whether it says healthy, and the time that it took.
 pub async fn probe(pool: &Arc<Pool>) -> (bool, Duration) {
     let start = Instant::now();
--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -29,6 +29,9 @@
     /// Sends a message to the crash guard of another home.
     fn send_crash(&self, to: Incarnation, service: &str, message: CrashMessage);
 
+    /// Asks other VMs whether they reach a backend server that this one does not.
+    fn ask_reach(&self, service: &str, backend: &str);
+
     /// Home in another region that has free slots for the service, if the budget of the link
     /// between the regions allows `bytes` and the expected response.
     fn spill(&self, service: &str, weight: f64, bytes: usize) -> Option<VmEntry>;
--- a/components/proxy/src/home.rs
+++ b/components/proxy/src/home.rs
@@ -1,33 +1,27 @@
+mod act;
+mod guard;
+mod state;
+
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
 
 use kernel::prelude::*;
-use kernel::{
-    AttemptId, BackendEvent, Balancer, Detector, DetectorAction, PickRequest, Queue, QueueError,
-    Ticket,
-};
+use kernel::{AttemptId, BackendEvent, Balancer, Detector, Queue, QueueError, Ticket};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use retry::{CrashAction, CrashGuard, CrashMessage, HedgePolicy, RetryBudget};
-use slotmap::{Key, KeyData, SlotMap, new_key_type};
+use retry::{CrashGuard, HedgePolicy, RetryBudget};
+use slotmap::{Key, SlotMap};
 use tokio::sync::oneshot;
-use tokio_util::sync::CancellationToken;
 
+use self::state::{State, WaitKey, Waiting, wait_key};
 use crate::call::Call;
 use crate::fleet::Fleet;
 use crate::pool::Pool;
 use crate::slot::Slot;
 
-/// Requests that are looked at in one round when the first finds no backend server.
-const LOOKAHEAD: usize = 4;
 /// Idle connections are closed after this time; the home of a service may have moved.
 const IDLE_CLOSE: Duration = Duration::from_secs(30);
 
-new_key_type! {
-    struct WaitKey;
-}
-
 /// Decisions of a service at its home.
 pub struct HomeOptions {
     /// Judges the backend servers.
@@ -40,38 +34,6 @@
     pub seed: u64,
 }
 
-struct Waiting {
-    ticket: Ticket,
-    idempotent: bool,
-    tried: Vec<BackendId>,
-    reply: oneshot::Sender<Result<Slot, Refusal>>,
-}
-
-struct State {
-    detector: Box<dyn Detector>,
-    balancer: Box<dyn Balancer>,
-    queue: Box<dyn Queue>,
-    rng: SmallRng,
-    /// Requests that wait; every ticket in the queue has its entry here.
-    waiting: SlotMap<WaitKey, Waiting>,
-    pools: HashMap<BackendId, Arc<Pool>>,
-    /// Attempts that run, so that a silent connection can be dropped.
-    attempts: HashMap<AttemptId, CancellationToken>,
-    next_attempt: AttemptId,
-    budget: RetryBudget,
-    hedge: HedgePolicy,
-    guard: CrashGuard,
-}
-
-/// A slot that was reserved and still has to be handed over.
-struct Reserved {
-    waiting: Waiting,
-    backend: BackendId,
-    pool: Arc<Pool>,
-    attempt: AttemptId,
-    silent: CancellationToken,
-}
-
 /// One service at its home VM: queue, slots and evidence.
 pub struct Home {
     service: ServiceId,
@@ -119,48 +81,6 @@
         act(&mut state.budget, &mut state.hedge)
     }
 
-    /// Uses the crash guard and sends what it wants sent.
-    pub(crate) fn with_guard<T>(&self, act: impl FnOnce(Uptime, &mut CrashGuard) -> T) -> T {
-        let now = self.now();
-        let (result, actions) = {
-            let state = &mut *self.lock();
-            let result = act(now, &mut state.guard);
-            (result, state.guard.poll(now))
-        };
-        for CrashAction::Send { to, message } in actions {
-            self.fleet.send_crash(to, &self.service, message);
-        }
-        result
-    }
-
-    /// Takes a message of the crash guard of another home.
-    pub fn receive_crash(&self, from: Incarnation, message: CrashMessage) {
-        self.with_guard(|now, guard| guard.receive(now, from, message));
-    }
-
-    /// Finds out whether a backend server died when a connection broke: it does not accept
-    /// connections, or no connection of before has survived.
-    pub(crate) fn check_death(self: &Arc<Self>, backend: &str, pool: &Arc<Pool>) {
-        /// Time in which the other connections of a dead process break as well.
-        const SETTLE: Duration = Duration::from_millis(50);
-        let (home, pool) = (Arc::clone(self), Arc::clone(pool));
-        let backend = BackendId::from(backend);
-        let broke = Instant::now();
-        let since = self.now();
-        tokio::spawn(async move {
-            tokio::time::sleep(SETTLE).await;
-            let accepts = pool.checkout(Duration::ZERO).await.is_ok();
-            let alive = accepts && pool.has_survivor(broke);
-            home.with_guard(|now, guard| {
-                if alive {
-                    guard.backend_alive(&backend, since);
-                } else {
-                    guard.backend_died(now, &backend);
-                }
-            });
-        });
-    }
-
     /// Replaces the set of backend servers.
     pub fn set_backends(self: &Arc<Self>, backends: &[BackendSpec]) {
         let now = self.now();
@@ -331,72 +251,6 @@
             });
         }
     }
-
-    fn act(self: &Arc<Self>, action: DetectorAction) {
-        let service = &*self.service;
-        match action {
-            DetectorAction::Suspected { backend, reason, after } => {
-                self.fleet.suspected(service, &backend, reason, after);
-            }
-            DetectorAction::Ejected { backend, reason, after } => {
-                self.fleet.ejected(service, &backend, reason, after);
-            }
-            DetectorAction::Restored { backend, falsely } => {
-                self.fleet.restored(service, &backend, falsely);
-            }
-            DetectorAction::DropConnection { attempt, backend } => {
-                telemetry::event!(CONNECTION_SILENT, service = service, backend = backend);
-                if let Some(silent) = self.lock().attempts.get(&attempt) {
-                    silent.cancel();
-                }
-            }
-            DetectorAction::Probe { backend } => {
-                let pool = self.lock().pools.get(&backend).cloned();
-                if let Some(pool) = pool {
-                    let home = Arc::clone(self);
-                    tokio::spawn(async move {
-                        let (healthy, took) = crate::attempt::probe(&pool).await;
-                        home.observe(&BackendEvent::Probed { backend, healthy, took });
-                    });
-                }
-            }
-        }
-    }
-}
-
-impl State {
-    fn load(&self, now: Uptime) -> (u32, u32) {
-        self.balancer.load(&|id| self.detector.standing(now, id))
-    }
-
-    /// Reserves slots for waiting requests, in the order of the queue.
-    fn reserve(&mut self, now: Uptime) -> Vec<Reserved> {
-        let mut reserved = Vec::new();
-        let mut passed = Vec::new();
-        while passed.len() < LOOKAHEAD && !self.queue.is_empty() {
-            let Some(id) = self.queue.pop(now) else { break };
-            let Some(waiting) = self.waiting.get(wait_key(id)) else { continue };
-            let request = PickRequest { idempotent: waiting.idempotent, tried: &waiting.tried };
-            let detector = &self.detector;
-            let standing = |id: &str| detector.standing(now, id);
-            let pick = self.balancer.pick(now, &request, &standing, &mut self.rng);
-            let pool = pick.as_ref().and_then(|p| self.pools.get(&p.backend).cloned());
-            let (Some(pick), Some(pool)) = (pick, pool) else {
-                passed.push(waiting.ticket.clone());
-                continue;
-            };
-            let Some(waiting) = self.waiting.remove(wait_key(id)) else { continue };
-            self.next_attempt += 1;
-            let attempt = self.next_attempt;
-            let silent = CancellationToken::new();
-            self.attempts.insert(attempt, silent.clone());
-            reserved.push(Reserved { waiting, backend: pick.backend, pool, attempt, silent });
-        }
-        for ticket in passed.into_iter().rev() {
-            self.queue.unpop(now, ticket);
-        }
-        reserved
-    }
 }
 
 /// Takes a request out of the queue when its caller has gone.
@@ -415,10 +269,6 @@
     }
 }
 
-fn wait_key(id: u64) -> WaitKey {
-    KeyData::from_ffi(id).into()
-}
-
 fn refuse_queue(error: QueueError) -> Refusal {
     let (kind, retry) = match error {
         QueueError::Full { retry } => (RefusalKind::Overloaded, retry),
--- /dev/null
+++ b/components/proxy/src/home/act.rs
@@ -0,0 +1,43 @@
+use std::sync::Arc;
+
+use kernel::{BackendEvent, DetectorAction};
+
+use super::Home;
+
+impl Home {
+    /// Does what the detector wants done.
+    pub(super) fn act(self: &Arc<Self>, action: DetectorAction) {
+        let service = &*self.service;
+        match action {
+            DetectorAction::Suspected { backend, reason, after } => {
+                self.fleet.suspected(service, &backend, reason, after);
+            }
+            DetectorAction::Ejected { backend, reason, after } => {
+                self.fleet.ejected(service, &backend, reason, after);
+            }
+            DetectorAction::Restored { backend, falsely } => {
+                self.fleet.restored(service, &backend, falsely);
+            }
+            DetectorAction::DropConnection { attempt, backend } => {
+                telemetry::event!(CONNECTION_SILENT, service = service, backend = backend);
+                if let Some(silent) = self.lock().attempts.get(&attempt) {
+                    silent.cancel();
+                }
+            }
+            DetectorAction::Probe { backend } => {
+                let pool = self.lock().pools.get(&backend).cloned();
+                if let Some(pool) = pool {
+                    let home = Arc::clone(self);
+                    tokio::spawn(async move {
+                        let (healthy, took) = crate::attempt::probe(&pool).await;
+                        if !healthy {
+                            // If others reach it, the way from this VM is broken.
+                            home.fleet.ask_reach(&home.service, &backend);
+                        }
+                        home.observe(&BackendEvent::Probed { backend, healthy, took });
+                    });
+                }
+            }
+        }
+    }
+}
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -22,6 +22,7 @@
 mod server;
 mod slot;
 
+pub use attempt::reaches;
 pub use body::{Body, BodyError, full};
 pub use call::Call;
 pub use engine::{Engine, EngineOptions};
--- a/components/telemetry/src/catalogue.rs
+++ b/components/telemetry/src/catalogue.rs
@@ -31,14 +31,10 @@
         "Nothing.";
     SETTINGS_READ = 104, Info, "settings-read", "The settings are valid.",
         "Nothing.";
-    SETTINGS_REFUSED = 105, Error, "settings-refused", "The settings have problems.",
-        "Correct each problem that is named and start again.";
     LISTEN_FAILED = 106, Error, "listen-failed", "An address cannot be listened on.",
         "Free the address or change it in the settings.";
     CLOCK_JUMPED = 107, Warn, "clock-jumped", "The process was paused for longer than a tick.",
         "If it repeats, look for an overloaded host.";
-    DRAIN_CUT = 108, Error, "drain-cut", "The process exits with requests unfinished.",
-        "Find what ended it before its drain time; raise `drain_ms` if it was the time.";
     OPERATORS_UNSERVED = 109, Error, "operators-unserved", "The server for operators ended; this VM takes no more changes.",
         "Use another VM for changes and restart this one.";
     ADMIN_UNSERVED = 110, Warn, "admin-unserved", "A connection for metrics and health could not be accepted.",
@@ -83,16 +79,10 @@
         "Look at the backend server; its health check may still pass.";
     BACKEND_RESTORED = 403, Info, "backend-restored", "A backend server takes work again.",
         "If trials show that the ejection was false, report it.";
-    EJECTION_WITHHELD = 404, Warn, "ejection-withheld", "A backend server stays in use because of the floor of its service.",
-        "Repair or add backend servers of this service.";
-    BACKEND_UNREACHABLE = 405, Warn, "backend-unreachable", "This VM cannot reach a backend server that others reach.",
-        "Look at the network between the two.";
     CONNECTION_SILENT = 406, Warn, "connection-silent", "A connection went silent while others work, and was dropped.",
         "Nothing; look at the network if it repeats.";
     BACKEND_DRAINING = 407, Info, "backend-draining", "A backend server leaves and gets no new work.",
         "Nothing.";
-    SERVICE_OVERLOADED = 408, Warn, "service-overloaded", "A whole service is overloaded; requests are shed.",
-        "Add backend servers or lower rates.";
     RIGHTS_CLAIMED = 501, Info, "rights-claimed", "This VM holds more units of a right.",
         "Nothing.";
     RIGHTS_LOST = 502, Warn, "rights-lost", "This VM lost units of a right because its session ended.",
@@ -119,8 +109,6 @@
         "Check `platform.address` and the platform's version.";
     VM_LIST_UNREAD = 606, Debug, "vm-list-unread", "The platform's list of VMs could not be read or written; it is tried again.",
         "Nothing; the VMs find each other without it once they are started.";
-    CRASH_SUSPECT = 701, Warn, "crash-suspect", "A request is suspected of crashing backend servers.",
-        "Nothing yet.";
     CRASH_REFUSED = 702, Error, "crash-refused", "A request crashed two backend servers and is refused.",
         "Tell the organisation; repair the fault that the request meets.";
     WITHDRAWN_KEY_USED = 703, Warn, "withdrawn-key-used", "A request came with a withdrawn key and was refused.",
@@ -137,6 +125,4 @@
         "The operator repeats it with the same change id.";
     CHANGE_WITHOUT_MAJORITY = 804, Warn, "change-without-majority", "A change was refused because this VM hears from half of the VMs or fewer.",
         "Repeat it on a VM in the larger part, or when the network is back.";
-    OPERATOR_REJECTED = 805, Warn, "operator-rejected", "An operator's token is not among those in the settings.",
-        "Check the token; else look for an intruder.";
 }
