--- a/components/config/src/diff.rs
+++ b/components/config/src/diff.rs
@@ -4,7 +4,7 @@
 ///
 /// Removals come last, so that nothing that is still used is removed. Keys that the desired
 /// configuration lacks are withdrawn. A key that is withdrawn now and works in the desired
-/// configuration is issued again, which [`apply`](crate::apply) refuses.
+/// configuration is issued again, which [`apply`](crate::apply()) refuses.
 pub fn diff(current: &FleetConfig, desired: &FleetConfig) -> Vec<Change> {
     let mut changes = Vec::new();
     for (id, organisation) in altered(&current.organisations, &desired.organisations) {
--- a/src/cmd/service.rs
+++ b/src/cmd/service.rs
@@ -39,7 +39,7 @@
     /// least part of the backend servers that ejections must leave, 0 to 1
     #[argh(option)]
     floor: f64,
-    /// backend server ID,IP:PORT,REGION,DOMAIN,SLOTS,CONNECTIONS[,draining]; may be repeated
+    /// backend server ID,IP:PORT,REGION,DOMAIN,SLOTS,CONNECTIONS and maybe ,draining; repeatable
     #[argh(option)]
     backend: Vec<Backend>,
     /// change the service if it exists
