--- a/tools/harness/src/process.rs
+++ b/tools/harness/src/process.rs
@@ -33,6 +33,11 @@
         Ok(Process { child, name: name.to_owned() })
     }
 
+    /// Number of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal by its name, such as `TERM`, `STOP` or `CONT`.
     pub fn signal(&self, name: &str) -> anyhow::Result<()> {
         let status = Command::new("kill")
--- a/tools/measure/src/experiments/mod.rs
+++ b/tools/measure/src/experiments/mod.rs
@@ -8,6 +8,7 @@
 mod link;
 mod rates;
 mod retries;
+mod start;
 
 use crate::Options;
 use crate::figure::Figure;
@@ -27,6 +28,7 @@
     Experiment { name: "ejections", run: ejections::run },
     Experiment { name: "latency", run: latency::run },
     Experiment { name: "link", run: link::run },
+    Experiment { name: "start", run: start::run },
     Experiment { name: "rates", run: rates::run },
     Experiment { name: "rates-hour", run: rates::run_hour },
     Experiment { name: "fairness", run: fairness::run },
