--- /dev/null
+++ b/components/daemon/src/claims.rs
@@ -0,0 +1,85 @@
+use kernel::prelude::*;
+use kernel::{PlatformError, Transaction};
+use retry::Claimed;
+use serde::{Deserialize, Serialize};
+
+use crate::shared::Shared;
+
+/// Writes a second that claims may take of the table's several hundred; the rest is for sessions,
+/// rights and the configuration.
+const FLEET_CLAIMS: f64 = 100.0;
+/// Regions over which the claims of a service are spread: each region has a home that claims.
+const REGIONS: f64 = 2.0;
+/// Claims that one VM may make at once.
+const BURST: f64 = 10.0;
+
+/// Budget of the writes that claims cost the table, as this VM's part of the fleet's.
+#[derive(Debug)]
+pub struct ClaimBudget {
+    /// Claims that may be made now. In [0, BURST].
+    level: f64,
+    /// When `level` was computed.
+    at: Uptime,
+}
+
+impl Default for ClaimBudget {
+    fn default() -> Self {
+        ClaimBudget { level: BURST, at: Uptime::ZERO }
+    }
+}
+
+impl ClaimBudget {
+    /// Takes one claim; false if the budget is spent.
+    ///
+    /// Only homes claim, so that the fleet's part is split over the services and regions.
+    pub fn take(&mut self, now: Uptime, services: usize) -> bool {
+        let rate = FLEET_CLAIMS / (services.max(1) as f64 * REGIONS);
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        self.level = (self.level + passed * rate).min(BURST);
+        self.at = self.at.max(now);
+        let free = self.level >= 1.0;
+        self.level -= f64::from(u8::from(free));
+        free
+    }
+}
+
+/// Row that claims a caller-made idempotency key.
+#[derive(Debug, Serialize, Deserialize)]
+struct ClaimRow {
+    incarnation: Incarnation,
+    attempt: u64,
+}
+
+impl From<ClaimRow> for Claimed {
+    fn from(row: ClaimRow) -> Self {
+        Claimed::Row { incarnation: row.incarnation, attempt: row.attempt }
+    }
+}
+
+impl Shared {
+    /// Claims a caller-made idempotency key for this attempt.
+    pub async fn claim_key(&self, organisation: &str, key: &str, attempt: u64) -> Claimed {
+        let services = self.lookup.load().config.services.len();
+        if !self.claim_budget().take(self.now(), services) {
+            return Claimed::Failed;
+        }
+        let name: Box<str> = format!("claim/{organisation}/{key}").into();
+        let row = ClaimRow { incarnation: self.me.incarnation, attempt };
+        let Ok(value) = serde_json::to_string(&row) else { return Claimed::Failed };
+        let claim = Transaction {
+            checks: vec![(name.clone(), 0)],
+            puts: vec![(name.clone(), value.into())],
+            deletes: Vec::new(),
+        };
+        match self.platform.table.commit(&claim).await {
+            Ok(_) => row.into(),
+            Err(PlatformError::Conflict { .. } | PlatformError::ReplyLost(_)) => {
+                let read = self.platform.table.read(&name).await;
+                let row = read.ok().flatten();
+                row.and_then(|row| serde_json::from_str::<ClaimRow>(&row.value).ok())
+                    .map_or(Claimed::Failed, Claimed::from)
+            }
+            Err(_) => Claimed::Failed,
+        }
+    }
+}
--- a/components/daemon/src/fleet.rs
+++ b/components/daemon/src/fleet.rs
@@ -4,13 +4,11 @@
 use futures::future::BoxFuture;
 use kernel::prelude::*;
 use kernel::{
-    Admission, EjectReason, PlatformError, ServiceContext, Transaction, VmEntry, build_balancer,
-    build_detector, build_queue,
+    Admission, EjectReason, ServiceContext, VmEntry, build_balancer, build_detector, build_queue,
 };
 use peers::Message;
 use proxy::{Fleet, HomeOptions, RequestRecord};
 use retry::{Claimed, CrashMessage};
-use serde::{Deserialize, Serialize};
 
 use crate::shared::Shared;
 
@@ -20,19 +18,6 @@
 /// The part of [`Shared`] that the request path sees.
 pub struct FleetView(pub Arc<Shared>);
 
-/// Row that claims a caller-made idempotency key.
-#[derive(Debug, Serialize, Deserialize)]
-struct ClaimRow {
-    incarnation: Incarnation,
-    attempt: u64,
-}
-
-impl From<ClaimRow> for Claimed {
-    fn from(row: ClaimRow) -> Self {
-        Claimed::Row { incarnation: row.incarnation, attempt: row.attempt }
-    }
-}
-
 impl Shared {
     /// Whether this VM hears enough of the fleet to believe that the table is away for all.
     fn hears_half(&self, now: Uptime) -> bool {
@@ -71,27 +56,6 @@
         let refusal = Refusal::not_run(RefusalKind::StaleConfiguration, message);
         Err(refusal.retry_after(Duration::from_secs(1)))
     }
-
-    async fn claim_key(&self, organisation: &str, key: &str, attempt: u64) -> Claimed {
-        let name: Box<str> = format!("claim/{organisation}/{key}").into();
-        let row = ClaimRow { incarnation: self.me.incarnation, attempt };
-        let Ok(value) = serde_json::to_string(&row) else { return Claimed::Failed };
-        let claim = Transaction {
-            checks: vec![(name.clone(), 0)],
-            puts: vec![(name.clone(), value.into())],
-            deletes: Vec::new(),
-        };
-        match self.platform.table.commit(&claim).await {
-            Ok(_) => row.into(),
-            Err(PlatformError::Conflict { .. } | PlatformError::ReplyLost(_)) => {
-                let read = self.platform.table.read(&name).await;
-                let row = read.ok().flatten();
-                row.and_then(|row| serde_json::from_str::<ClaimRow>(&row.value).ok())
-                    .map_or(Claimed::Failed, Claimed::from)
-            }
-            Err(_) => Claimed::Failed,
-        }
-    }
 }
 
 impl Fleet for FleetView {
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod bus;
+mod claims;
 mod clock;
 mod configuration;
 mod explain;
--- a/components/daemon/src/shared.rs
+++ b/components/daemon/src/shared.rs
@@ -13,6 +13,7 @@
 use telemetry::Metrics;
 use tokio::sync::mpsc;
 
+use crate::claims::ClaimBudget;
 use crate::clock::Clock;
 use crate::flags::Flags;
 use crate::meters::Meters;
@@ -61,6 +62,7 @@
     /// Backend servers that this VM holds ejected, with the reason and the time.
     ejected: Mutex<HashMap<(ServiceId, BackendId), (EjectReason, Uptime)>>,
     spill: Mutex<Spill>,
+    claim_budget: Mutex<ClaimBudget>,
     /// Organisations whose rate the limiter knows. Locked inside of `limiter`.
     rated: Mutex<HashSet<OrganisationId>>,
     membership: Mutex<Membership>,
@@ -105,6 +107,7 @@
             install: tokio::sync::Mutex::default(),
             ejected: Mutex::default(),
             spill: Mutex::default(),
+            claim_budget: Mutex::default(),
             rated: Mutex::default(),
             flags: Flags::default(),
             meters: Meters::new(metrics),
@@ -166,6 +169,11 @@
         limiter
     }
 
+    /// Budget of the claims of caller-made idempotency keys.
+    pub fn claim_budget(&self) -> MutexGuard<'_, ClaimBudget> {
+        self.claim_budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The spill-over to other regions.
     pub fn spill(&self) -> MutexGuard<'_, Spill> {
         self.spill.lock().unwrap_or_else(PoisonError::into_inner)
