--- a/components/proxy/src/counted.rs
+++ b/components/proxy/src/counted.rs
@@ -28,10 +28,15 @@
 
 /// Body of a response that counts as being answered until the body is dropped.
 pub struct CountedBody {
-    /// The body.
-    pub body: Body,
-    /// Counts the request.
-    pub _counted: Counted,
+    body: Body,
+    _counted: Counted,
+}
+
+impl CountedBody {
+    /// Counts the request until the body is dropped.
+    pub fn new(body: Body, counted: Counted) -> Self {
+        CountedBody { body, _counted: counted }
+    }
 }
 
 impl http_body::Body for CountedBody {
--- a/components/proxy/src/run.rs
+++ b/components/proxy/src/run.rs
@@ -16,6 +16,9 @@
 /// Time that a further attempt is expected to take at least; a shorter rest is not worth a retry.
 const EXPECTED: Duration = Duration::from_millis(5);
 
+/// Name of the service in the retry budget: a home has a budget of its own, for one service.
+const SERVICE: &str = "";
+
 /// Why a home did not answer a request.
 #[derive(Debug)]
 pub enum RunError {
@@ -119,7 +122,7 @@
         call: &Call,
         spill: bool,
     ) -> Result<Response<Body>, RunError> {
-        self.with_retries(|budget, _| budget.first_attempt("", &call.organisation));
+        self.with_retries(|budget, _| budget.first_attempt(SERVICE, &call.organisation));
         let mut tried: Vec<BackendId> = Vec::new();
         // Once an attempt may have run, no later refusal may say that the request was not run.
         let mut doubt = false;
@@ -148,7 +151,7 @@
 
     fn may_retry(&self, call: &Call, sent: Sent, tried: usize) -> bool {
         let request = RetryRequest {
-            service: "",
+            service: SERVICE,
             organisation: &call.organisation,
             idempotent: call.idempotent,
             sent: match sent {
@@ -218,14 +221,14 @@
     async fn hedge_slot(self: &Arc<Self>, call: &Call, tried: &[BackendId]) -> Option<Slot> {
         /// Longest wait for a slot; a hedge that queues comes too late and takes another's place.
         const WAIT: Duration = Duration::from_millis(5);
-        if !self.with_retries(|budget, _| budget.take_hedge("", &call.organisation)) {
+        if !self.with_retries(|budget, _| budget.take_hedge(SERVICE, &call.organisation)) {
             return None;
         }
         let slot = tokio::time::timeout(WAIT, self.acquire(call, tried)).await;
         if let Ok(Ok(slot)) = slot {
             return Some(slot);
         }
-        self.with_retries(|budget, _| budget.give_back("", &call.organisation));
+        self.with_retries(|budget, _| budget.give_back(SERVICE, &call.organisation));
         None
     }
 }
--- a/components/proxy/src/server.rs
+++ b/components/proxy/src/server.rs
@@ -71,7 +71,7 @@
             let counted = Counted::new(&active);
             async move {
                 let response = engine.handle(request).await;
-                let body = response.map(|body| CountedBody { body, _counted: counted });
+                let body = response.map(|body| CountedBody::new(body, counted));
                 Ok::<_, Infallible>(body)
             }
         });
