--- a/components/membership/src/apply.rs
+++ b/components/membership/src/apply.rs
@@ -191,8 +191,7 @@
         if let Some(member) = self.members.get_mut(&incarnation)
             && member.status == Status::Alive
         {
-            member.status = Status::Suspect;
-            (member.since, member.changed) = (now, now);
+            member.set_status(now, Status::Suspect);
             // The ping that found it was one.
             member.checked = true;
             self.gossip.queue(incarnation, times);
@@ -210,8 +209,7 @@
         if let Some(member) = self.members.get_mut(&incarnation)
             && member.is_live()
         {
-            member.status = Status::Dead;
-            (member.since, member.changed) = (now, now);
+            member.set_status(now, Status::Dead);
             self.gossip.queue(incarnation, times);
             actions.push(MembershipAction::Died { incarnation });
         }
--- a/components/membership/src/member.rs
+++ b/components/membership/src/member.rs
@@ -26,6 +26,12 @@
         Peer { incarnation: self.entry.incarnation, address: self.entry.peers }
     }
 
+    /// Takes over a new status.
+    pub fn set_status(&mut self, now: Uptime, status: Status) {
+        self.status = status;
+        (self.since, self.changed) = (now, now);
+    }
+
     /// Whether the VM belongs to the live set.
     pub fn is_live(&self) -> bool {
         self.status <= Status::Suspect
--- a/components/membership/tests/membership/main.rs
+++ b/components/membership/tests/membership/main.rs
@@ -2,5 +2,4 @@
 
 mod detection;
 mod fleet;
-mod fuzz;
 mod stateful;
--- a/components/membership/tests/membership/stateful.rs
+++ b/components/membership/tests/membership/stateful.rs
@@ -1,7 +1,6 @@
 use quickcheck::{Arbitrary, Gen, TestResult};
 
 use crate::fleet::Fleet;
-use crate::fuzz;
 
 /// Number of VM names.
 const NAMES: usize = 12;
--- a/components/queue/tests/queue/main.rs
+++ b/components/queue/tests/queue/main.rs
@@ -1,5 +1,4 @@
 //! Tests of the queues.
 
 mod fair;
-mod fuzz;
 mod max_min;
--- a/components/queue/tests/queue/max_min.rs
+++ b/components/queue/tests/queue/max_min.rs
@@ -5,8 +5,6 @@
 use queue::FairQueue;
 use quickcheck::{Arbitrary, Gen, TestResult};
 
-use crate::fuzz;
-
 /// One organisation with regular arrivals.
 #[derive(Clone, Debug)]
 struct Client {
--- a/components/retry/tests/retry/answers.rs
+++ b/components/retry/tests/retry/answers.rs
@@ -9,8 +9,6 @@
     RETENTION, RequestDigest, issue_prefix,
 };
 
-use crate::fuzz;
-
 const OWN: u64 = 7;
 const LIMITS: AnswerLimits = AnswerLimits { keys: 8, bytes: 8 * 340 + 4000 };
 
--- a/components/retry/tests/retry/crash.rs
+++ b/components/retry/tests/retry/crash.rs
@@ -5,8 +5,6 @@
     AttemptEnd, CrashAction, CrashGuard, CrashMessage, Fingerprint, RequestDigest, Verdict,
 };
 
-use crate::fuzz;
-
 const MS: Duration = Duration::from_millis(1);
 
 /// One step of a caller, of the network or of time.
--- a/components/retry/tests/retry/main.rs
+++ b/components/retry/tests/retry/main.rs
@@ -2,5 +2,4 @@
 
 mod answers;
 mod crash;
-mod fuzz;
 mod policy;
