--- /dev/null
+++ b/components/dispatch/src/backends.rs
@@ -0,0 +1,202 @@
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+use kernel::prelude::*;
+use slotmap::{SlotMap, new_key_type};
+
+use crate::{Evidence, Health};
+
+/// Time that a connection failure keeps a backend server last in line on this VM.
+const UNREACHABLE: Duration = Duration::from_millis(1500);
+/// Longest time that an unreachable backend server is kept last in line.
+const UNREACHABLE_MOST: Duration = Duration::from_secs(6);
+/// Age after which a load report says nothing.
+const REPORT_AGE: Duration = Duration::from_millis(600);
+
+new_key_type! {
+    /// Key of one start of a backend server.
+    pub struct BackendKey;
+}
+
+/// One start of a backend server: its id, and when it started if it says so.
+pub type Identity = (BackendId, u64);
+
+/// A backend server as the platform's list has it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BackendEntry {
+    /// Unique id.
+    pub id: BackendId,
+    /// Time of its start in Unix milliseconds; 0 if it does not say. An id may start again.
+    pub born: u64,
+    /// Service that it belongs to.
+    pub service: ServiceId,
+    /// Address that it accepts HTTP/1.1 on.
+    pub address: SocketAddr,
+    /// Where it runs.
+    pub domain: DomainId,
+    /// Requests that it runs at once. At least 1.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// Time for which it stays slow after its start.
+    pub warmup: Duration,
+}
+
+/// How this VM reached a backend server last.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Reach {
+    /// Consecutive failures to connect.
+    pub failures: u32,
+    /// Until when it is kept last in line.
+    pub until: Uptime,
+}
+
+/// What this VM knows of one start of a backend server.
+#[derive(Clone, Debug)]
+pub struct BackendState {
+    /// Its entry.
+    pub entry: BackendEntry,
+    /// Belief about gray failure.
+    pub health: Health,
+    /// How it was reached.
+    pub reach: Reach,
+    /// Requests of this VM that it has.
+    pub busy: u32,
+    /// Requests that it has of other VMs, and when it said so.
+    pub others: (u32, Uptime),
+    /// Until when it is slow after its start.
+    pub cold_until: Uptime,
+    /// When this VM last sent it a request.
+    pub used: Uptime,
+    /// When it refused a request unrun.
+    pub shed: Option<Uptime>,
+}
+
+impl BackendState {
+    fn new(now: Uptime, entry: BackendEntry) -> Self {
+        BackendState {
+            cold_until: now + entry.warmup,
+            entry,
+            health: Health::new(now),
+            reach: Reach::default(),
+            busy: 0,
+            others: (0, Uptime::ZERO),
+            used: Uptime::ZERO,
+            shed: None,
+        }
+    }
+
+    /// Requests that it has, as far as this VM can tell.
+    pub fn load(&self, now: Uptime) -> u32 {
+        let (count, at) = self.others;
+        let fresh = now.saturating_sub(at) < REPORT_AGE;
+        self.busy + if fresh { count } else { 0 }
+    }
+
+    /// Takes a load report: requests that it runs and that wait there.
+    pub fn report(&mut self, now: Uptime, running: u32, waiting: u32) {
+        self.others = ((running + waiting).saturating_sub(self.busy), now);
+    }
+
+    /// Notes a failure to connect.
+    pub fn unreachable(&mut self, now: Uptime) {
+        self.reach.failures = (self.reach.failures + 1).min(8);
+        let pause = UNREACHABLE * self.reach.failures;
+        self.reach.until = now + pause.min(UNREACHABLE_MOST);
+    }
+
+    /// Notes that it answered.
+    pub fn reached(&mut self) {
+        self.reach = Reach::default();
+    }
+}
+
+/// Every backend server that may get work, by service.
+#[derive(Debug, Default)]
+pub struct Backends {
+    states: SlotMap<BackendKey, BackendState>,
+    ids: HashMap<BackendId, BackendKey>,
+    services: HashMap<ServiceId, Vec<BackendKey>>,
+}
+
+impl Backends {
+    /// Replaces the list. Returns the backend servers that came and those that left.
+    pub fn update(
+        &mut self,
+        now: Uptime,
+        entries: &BTreeMap<BackendId, BackendEntry>,
+    ) -> (Vec<BackendKey>, Vec<Identity>) {
+        let mut gone = Vec::new();
+        self.states.retain(|_, state| {
+            let same = entries.get(&state.entry.id).is_some_and(|e| {
+                e.born == state.entry.born
+                    && e.address == state.entry.address
+                    && e.service == state.entry.service
+            });
+            if !same {
+                gone.push((state.entry.id.clone(), state.entry.born));
+            }
+            same
+        });
+        self.ids.retain(|_, key| self.states.contains_key(*key));
+        let mut came = Vec::new();
+        for entry in entries.values() {
+            match self.ids.get(&entry.id).and_then(|key| self.states.get_mut(*key)) {
+                Some(state) => state.entry = entry.clone(),
+                None => {
+                    let key = self.states.insert(BackendState::new(now, entry.clone()));
+                    self.ids.insert(entry.id.clone(), key);
+                    came.push(key);
+                }
+            }
+        }
+        self.services.clear();
+        for (key, state) in &self.states {
+            self.services.entry(state.entry.service.clone()).or_default().push(key);
+        }
+        (came, gone)
+    }
+
+    /// The backend servers of a service.
+    pub fn of(&self, service: &str) -> impl Iterator<Item = (BackendKey, &BackendState)> {
+        let keys = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        keys.iter().filter_map(|key| Some((*key, self.states.get(*key)?)))
+    }
+
+    /// One backend server; none once it has left.
+    pub fn get(&self, key: BackendKey) -> Option<&BackendState> {
+        self.states.get(key)
+    }
+
+    /// One backend server; none once it has left.
+    pub fn get_mut(&mut self, key: BackendKey) -> Option<&mut BackendState> {
+        self.states.get_mut(key)
+    }
+
+    /// A backend server by its id.
+    pub fn find(&self, id: &str) -> Option<BackendKey> {
+        self.ids.get(id).copied()
+    }
+
+    /// All backend servers.
+    pub fn iter(&self) -> impl Iterator<Item = (BackendKey, &BackendState)> {
+        self.states.iter()
+    }
+
+    /// Takes a backend server out before the list says so, as when another has its address.
+    pub fn remove(&mut self, key: BackendKey) {
+        if let Some(state) = self.states.remove(key) {
+            self.ids.remove(&state.entry.id);
+            if let Some(keys) = self.services.get_mut(&state.entry.service) {
+                keys.retain(|k| *k != key);
+            }
+        }
+    }
+
+    /// Takes evidence that another VM has seen.
+    pub fn observe(&mut self, now: Uptime, id: &str, evidence: Evidence) {
+        if let Some(state) = self.find(id).and_then(|key| self.states.get_mut(key)) {
+            state.health.observe(now, evidence);
+        }
+    }
+}
--- /dev/null
+++ b/components/dispatch/src/budget.rs
@@ -0,0 +1,63 @@
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use kernel::Uptime;
+
+/// Part of the budget that is used: what several VMs take in one window must stay below it.
+const USED: f64 = 0.7;
+/// Length of a step of the window.
+const STEP: Duration = Duration::from_millis(500);
+
+/// Repeats of one service that this VM may send: a part of its own first sends within a sliding
+/// window, and a fixed part of the allowance that the fleet has without any.
+///
+/// Answers brown-outs, in which every request fails and each repeat adds load. No VM asks another:
+/// the parts of all VMs add up to the budget of the fleet.
+#[derive(Clone, Debug)]
+pub struct RetryAllowance {
+    ratio: f64,
+    slack: f64,
+    window: Duration,
+    /// Start of a step, first sends and repeats in it; oldest first.
+    steps: VecDeque<(Uptime, u32, u32)>,
+}
+
+impl RetryAllowance {
+    /// An allowance of `ratio` of the first sends and `slack` more in each `window`.
+    pub fn new(ratio: f64, slack: f64, window: Duration) -> Self {
+        RetryAllowance { ratio: ratio * USED, slack: slack * USED, window, steps: VecDeque::new() }
+    }
+
+    fn step(&mut self, now: Uptime) -> &mut (Uptime, u32, u32) {
+        while self.steps.front().is_some_and(|s| s.0 + self.window + STEP < now) {
+            self.steps.pop_front();
+        }
+        if self.steps.back().is_none_or(|s| s.0 + STEP <= now) {
+            self.steps.push_back((now, 0, 0));
+        }
+        let last = self.steps.len() - 1;
+        &mut self.steps[last]
+    }
+
+    /// Counts a first send.
+    pub fn first(&mut self, now: Uptime) {
+        self.step(now).1 += 1;
+    }
+
+    /// Whether a repeat is allowed now.
+    pub fn has(&mut self, now: Uptime) -> bool {
+        self.step(now);
+        let (first, repeats) =
+            self.steps.iter().fold((0, 0), |(f, r), step| (f + step.1, r + step.2));
+        f64::from(repeats) + 1.0 <= self.slack + self.ratio * f64::from(first)
+    }
+
+    /// Takes a repeat if one is allowed.
+    pub fn take(&mut self, now: Uptime) -> bool {
+        let has = self.has(now);
+        if has {
+            self.step(now).2 += 1;
+        }
+        has
+    }
+}
--- /dev/null
+++ b/components/dispatch/src/election.rs
@@ -0,0 +1,179 @@
+use std::time::Duration;
+
+use kernel::{Incarnation, Uptime};
+
+/// Silence of the home after which the first standby takes over. Beats come every 200 ms.
+const SILENCE: Duration = Duration::from_millis(700);
+/// More silence for each standby that stands before.
+const STEP: Duration = Duration::from_millis(200);
+/// Silence after which a VM of the failure domain no longer stands in line.
+const LOST: Duration = Duration::from_millis(3500);
+/// Uptime from which a VM stands in line: it has had time to learn the configuration.
+const SETTLED: Duration = Duration::from_millis(1500);
+
+/// Claim to serve the callers of a failure domain; the higher claim wins.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Claim {
+    /// Raised with each change of the home. Zero is no claim.
+    pub term: u64,
+    /// VM that claims, so that two claims of one term differ.
+    pub vm: Incarnation,
+}
+
+/// What a VM tells the others of its failure domain.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PeerBeat {
+    /// The VM.
+    pub vm: Incarnation,
+    /// Time since its start.
+    pub uptime: Duration,
+    /// Capacity relative to a VM with one whole core.
+    pub power: f64,
+    /// Its claim, if it is a home.
+    pub claim: Claim,
+    /// Whether it is able to serve: it knows a configuration and is not stopping.
+    pub able: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    beat: PeerBeat,
+    at: Uptime,
+}
+
+/// Part of a VM in its failure domain.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Role {
+    /// Serves the callers of the failure domain.
+    Home,
+    /// Takes over when the home is lost.
+    Standby,
+}
+
+/// Chooses the VM that serves the callers of a failure domain, so that evidence and slots of its
+/// backend servers meet in one place.
+///
+/// Answers the loss of any VM: the most powerful standby takes over after 0.7 s of silence, of
+/// equal ones the one that started last, which a rolling restart has already passed. Two homes at
+/// once do no harm: both serve, and the higher claim wins when they hear each other.
+#[derive(Debug)]
+pub struct Election {
+    own: PeerBeat,
+    others: Vec<Known>,
+    /// Highest claim heard, and when.
+    home: (Claim, Uptime),
+    highest: u64,
+}
+
+impl Election {
+    /// A VM at its start.
+    pub fn new(now: Uptime, vm: Incarnation, power: f64) -> Self {
+        let own =
+            PeerBeat { vm, uptime: Duration::ZERO, power, claim: Claim::default(), able: false };
+        Election { own, others: Vec::new(), home: (Claim::default(), now), highest: 0 }
+    }
+
+    /// Sets whether this VM is able to serve. A home that is not steps down.
+    pub fn set_able(&mut self, able: bool) {
+        self.own.able = able;
+        if !able {
+            self.own.claim = Claim::default();
+        }
+    }
+
+    /// What this VM tells the others.
+    pub fn beat(&self, now: Uptime) -> PeerBeat {
+        PeerBeat { uptime: now, ..self.own }
+    }
+
+    /// Takes the beat of another VM of the failure domain.
+    pub fn hear(&mut self, now: Uptime, beat: PeerBeat) {
+        if beat.vm == self.own.vm {
+            return;
+        }
+        match self.others.iter_mut().find(|k| k.beat.vm == beat.vm) {
+            Some(known) => *known = Known { beat, at: now },
+            None => self.others.push(Known { beat, at: now }),
+        }
+        self.highest = self.highest.max(beat.claim.term);
+        if beat.claim.term > 0 {
+            if beat.claim >= self.home.0 {
+                self.home = (beat.claim, now);
+            }
+            if beat.claim > self.own.claim {
+                self.own.claim = Claim::default();
+            }
+        } else if self.home.0.vm == beat.vm {
+            // The home has stepped down: the line moves at once.
+            self.home = (Claim::default(), now.saturating_sub(SILENCE));
+        }
+    }
+
+    /// Forgets a VM that has said that it stops.
+    pub fn forget(&mut self, now: Uptime, vm: Incarnation) {
+        self.others.retain(|k| k.beat.vm != vm);
+        if self.home.0.vm == vm {
+            self.home = (Claim::default(), now.saturating_sub(SILENCE));
+        }
+    }
+
+    fn rank_key(beat: &PeerBeat) -> (bool, i64, std::cmp::Reverse<u64>, Incarnation) {
+        let power = (beat.power * 100.0) as i64;
+        let uptime = beat.uptime.as_secs();
+        (beat.uptime >= SETTLED, power, std::cmp::Reverse(uptime), beat.vm)
+    }
+
+    /// Able VMs that stand before this one.
+    fn before(&self, now: Uptime) -> u32 {
+        let own = Self::rank_key(&self.beat(now));
+        let live = self.others.iter().filter(|k| k.at + LOST > now && k.beat.able);
+        let ahead = live.filter(|k| {
+            let age = now.saturating_sub(k.at);
+            let beat = PeerBeat { uptime: k.beat.uptime + age, ..k.beat };
+            Self::rank_key(&beat) > own
+        });
+        u32::try_from(ahead.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Decides the part of this VM. Called every 100 ms and after a beat.
+    pub fn poll(&mut self, now: Uptime) -> Role {
+        self.others.retain(|k| k.at + LOST > now);
+        if self.own.claim.term > 0 {
+            self.home = (self.own.claim, now);
+            return Role::Home;
+        }
+        if !self.own.able {
+            return Role::Standby;
+        }
+        let (claim, heard) = self.home;
+        let silence = if claim.term > 0 || heard > Uptime::ZERO { SILENCE } else { Duration::ZERO };
+        let wait = silence + STEP * self.before(now);
+        if now.saturating_sub(heard) >= wait {
+            self.highest += 1;
+            self.own.claim = Claim { term: self.highest, vm: self.own.vm };
+            self.home = (self.own.claim, now);
+            return Role::Home;
+        }
+        Role::Standby
+    }
+
+    /// The VM that serves, if one is known.
+    pub fn home(&self) -> Option<Incarnation> {
+        (self.home.0.term > 0).then_some(self.home.0.vm)
+    }
+
+    /// Live VMs of the failure domain that are able to serve, best first, this VM included.
+    pub fn line(&self, now: Uptime) -> Vec<Incarnation> {
+        let mut beats: Vec<PeerBeat> =
+            self.others.iter().filter(|k| k.at + LOST > now).map(|k| k.beat).collect();
+        beats.push(self.beat(now));
+        beats.retain(|b| b.able);
+        beats.sort_by_key(|b| std::cmp::Reverse(Self::rank_key(b)));
+        beats.into_iter().map(|b| b.vm).collect()
+    }
+
+    /// Standbys that stand before this one; none for the home.
+    pub fn rank(&self, now: Uptime) -> u32 {
+        if self.own.claim.term > 0 { 0 } else { self.before(now) }
+    }
+}
--- /dev/null
+++ b/components/dispatch/src/lib.rs
@@ -0,0 +1,28 @@
+//! Decisions of a gateway under load, without input, output or clock of their own.
+//!
+//! Each module names the load pattern that it answers.
+
+mod budget;
+mod catalogue;
+mod backends;
+mod crashes;
+mod election;
+mod health;
+mod placement;
+mod quota;
+mod split;
+mod waiting;
+
+pub use backends::{BackendEntry, BackendKey, BackendState, Backends, Identity, Reach};
+pub use budget::RetryAllowance;
+pub use catalogue::{
+    CallerLimits, Catalogue, CatalogueFault, CatalogueParts, Denied, GatewayOrganisation,
+    GatewayRoute, GatewayService, OrganisationIndex, RouteIndex, ServiceWeight,
+};
+pub use crashes::{CrashSuspects, MAX_DEATHS};
+pub use election::{Claim, Election, PeerBeat, Role};
+pub use health::{Evidence, Health};
+pub use placement::{Choice, Distance, PlacementOptions, Request, place};
+pub use quota::{Quota, QuotaVerdict};
+pub use split::Split;
+pub use waiting::{Rejected, Waiter, WaiterId, WaitingRoom};
--- /dev/null
+++ b/components/dispatch/src/placement.rs
@@ -0,0 +1,162 @@
+use kernel::Uptime;
+
+use crate::{BackendKey, BackendState};
+
+/// How far a backend server is from this VM.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Distance {
+    /// In the failure domain of this VM.
+    Domain,
+    /// In another failure domain of the region.
+    Region,
+    /// In another region.
+    Remote,
+}
+
+/// Weights of a placement, in the worth of one request of the lowest rank.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlacementOptions {
+    /// Cost of a kilobyte to another failure domain.
+    pub domain_kb: f64,
+    /// Cost of a kilobyte to another region.
+    pub region_kb: f64,
+    /// Round trip to another region, in seconds.
+    pub region_trip: f64,
+    /// Part of a failure's cost that is left when the request may be sent once more.
+    pub retried: f64,
+    /// Slowdown of a backend server right after its start.
+    pub cold_factor: f64,
+    /// Time without work after which a backend server is tried while its service fails, in
+    /// seconds.
+    pub starved: f64,
+}
+
+impl Default for PlacementOptions {
+    fn default() -> Self {
+        PlacementOptions {
+            // Ordinary prices of the platform for bytes between failure domains and regions.
+            domain_kb: 0.1,
+            region_kb: 0.13,
+            region_trip: 0.06,
+            // A repeat costs a slot elsewhere and time.
+            retried: 0.3,
+            // The platform's backend servers take about twice as long while cold.
+            cold_factor: 2.0,
+            // Well inside the 2 s in which most backend servers of a failing service must have
+            // been used.
+            starved: 1.2,
+        }
+    }
+}
+
+/// What a placement needs to know of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Request<'a> {
+    /// What a success is worth, relative to a request of the lowest rank.
+    pub worth: f64,
+    /// Whether it can be sent once more after a failure.
+    pub repeatable: bool,
+    /// Bytes of the request and its answer, in kilobytes.
+    pub size_kb: f64,
+    /// Usual time of such requests, in seconds.
+    pub usual: f64,
+    /// Time left in which an answer has its full worth, in seconds.
+    pub left: f64,
+    /// Backend servers that it was sent to before.
+    pub tried: &'a [BackendKey],
+    /// Whether the service fails so much that all its backend servers must be tried.
+    pub explore: bool,
+}
+
+/// Where a request goes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Choice {
+    /// To this backend server.
+    Send(BackendKey),
+    /// Nowhere yet: a better backend server is full.
+    Wait,
+    /// Nowhere: no backend server of the service is known.
+    Nowhere,
+}
+
+/// Expected loss of sending a request to a backend server, in the unit of its worth.
+pub fn cost(
+    now: Uptime,
+    state: &BackendState,
+    distance: Distance,
+    request: &Request<'_>,
+    options: &PlacementOptions,
+) -> f64 {
+    let mut failure = state.health.failure(now);
+    if now < state.reach.until {
+        // It can still be tried: a failure to connect costs time and leaves the request unsent.
+        failure = failure.max(0.8);
+    }
+    let retried = if request.repeatable { options.retried } else { 1.0 };
+    let (transfer, trip) = match distance {
+        Distance::Domain => (0.0, 0.0),
+        Distance::Region => (options.domain_kb * request.size_kb, 0.002),
+        Distance::Remote => (options.region_kb * request.size_kb, options.region_trip),
+    };
+    let mut time = request.usual * state.health.slowness(now);
+    if now < state.cold_until {
+        time *= options.cold_factor;
+    }
+    let load = f64::from(state.load(now)) / f64::from(state.entry.slots);
+    // Beyond its slots a request waits there for those before it.
+    time *= 1.0 + (load + 1.0 / f64::from(state.entry.slots) - 1.0).max(0.0);
+    let late = ((time + trip) / request.left.max(0.05)).min(2.0);
+    let idle = now.saturating_sub(state.used).as_secs_f64();
+    let starved = if request.explore && idle > options.starved { 1.0 } else { 0.0 };
+    let load_cost = 0.02 * load * load;
+    request.worth * (failure * retried + 0.25 * late * late + load_cost - starved) + transfer
+}
+
+/// Whether a backend server has room for one more request.
+fn has_room(now: Uptime, state: &BackendState) -> bool {
+    let shed = state.shed.is_some_and(|at| now.saturating_sub(at).as_millis() < 150);
+    state.load(now) < state.entry.slots && !shed
+}
+
+/// Places a request: the backend server with room whose expected loss is least.
+///
+/// Answers a service of which a third is gray and some failure domains have few backend servers:
+/// work goes to another failure domain when what it would lose at home is worth more than the
+/// bytes. Draining backend servers and those tried before get nothing.
+pub fn place<'a>(
+    now: Uptime,
+    candidates: impl Iterator<Item = (BackendKey, &'a BackendState, Distance)>,
+    request: &Request<'_>,
+    options: &PlacementOptions,
+) -> Choice {
+    let mut best: Option<(f64, BackendKey)> = None;
+    let mut best_full: Option<f64> = None;
+    let mut any = false;
+    for (key, state, distance) in candidates {
+        if state.entry.draining || request.tried.contains(&key) {
+            continue;
+        }
+        any = true;
+        let cost = cost(now, state, distance, request, options);
+        if has_room(now, state) {
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, key));
+            }
+        } else if best_full.is_none_or(|least| cost < least) {
+            best_full = Some(cost);
+        }
+    }
+    match (best, best_full) {
+        (Some((cost, _)), Some(full))
+            if !request.repeatable
+                && cost > 0.5 * request.worth
+                && full < 0.4 * request.worth
+                && request.left > 1.5 * request.usual =>
+        {
+            Choice::Wait
+        }
+        (Some((_, key)), _) => Choice::Send(key),
+        (None, _) if any => Choice::Wait,
+        (None, _) => Choice::Nowhere,
+    }
+}
--- /dev/null
+++ b/components/dispatch/src/quota.rs
@@ -0,0 +1,151 @@
+use std::collections::HashMap;
+use std::time::Duration;
+
+use kernel::{OrganisationId, Rate, Uptime};
+
+/// Time constant of the demand estimate.
+const DEMAND: Duration = Duration::from_millis(1500);
+/// Age after which the demand that another VM reported counts no more.
+const REPORT_AGE: Duration = Duration::from_millis(3500);
+/// Least part of a rate that a VM with demand uses, so that a first request is not refused.
+const LEAST: f64 = 0.02;
+
+/// What a quota says to a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum QuotaVerdict {
+    /// Within the rate.
+    Admitted,
+    /// Above the rate; a token can be expected after this time.
+    Refused(Duration),
+}
+
+#[derive(Clone, Debug)]
+struct Account {
+    rate: Rate,
+    tokens: f64,
+    at: Uptime,
+    /// Requests asked for a second, over `DEMAND`.
+    demand: f64,
+    asked: Uptime,
+}
+
+impl Account {
+    fn demand(&self, now: Uptime) -> f64 {
+        let age = now.saturating_sub(self.asked).as_secs_f64();
+        self.demand * (-age / DEMAND.as_secs_f64()).exp()
+    }
+}
+
+/// Admits requests within the rates of organisations. Each VM owns the part of a rate that its
+/// demand is of the demand of all VMs, which report theirs to each other.
+///
+/// Answers an organisation that sends many times its usual, through a few VMs or all: parts follow
+/// demand within a second, and the sum of the parts is the rate.
+#[derive(Debug, Default)]
+pub struct Quota {
+    accounts: HashMap<OrganisationId, Account>,
+    /// Demand by VM and organisation, with the time of the report.
+    reports: HashMap<u64, (Uptime, HashMap<u32, f64>)>,
+    /// Parts of a new VM: one over the number of VMs that serve.
+    servers: f64,
+}
+
+/// Short hash of an organisation's name for reports.
+fn short(name: &str) -> u32 {
+    // FNV-1a: stable over processes, which the hasher of the standard library does not promise.
+    name.bytes().fold(0x811c_9dc5, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193))
+}
+
+impl Quota {
+    /// Sets the rates and the usual number of VMs that serve at once.
+    pub fn configure<'a>(
+        &mut self,
+        now: Uptime,
+        rates: impl Iterator<Item = (&'a OrganisationId, Option<Rate>)>,
+        servers: usize,
+    ) {
+        self.servers = servers.max(1) as f64;
+        let mut accounts = HashMap::new();
+        for (id, rate) in rates {
+            let Some(rate) = rate else { continue };
+            let account = match self.accounts.remove(id) {
+                Some(old) => Account { tokens: old.tokens.min(rate.burst), rate, ..old },
+                None => Account {
+                    rate,
+                    tokens: rate.burst / self.servers,
+                    at: now,
+                    demand: 0.0,
+                    asked: now,
+                },
+            };
+            accounts.insert(id.clone(), account);
+        }
+        self.accounts = accounts;
+    }
+
+    /// Part of an organisation's rate that this VM may use now. In [0, 1].
+    fn part(&self, now: Uptime, id: &str, own: f64) -> f64 {
+        let hash = short(id);
+        let mut others = 0.0;
+        let mut heard = 0.0;
+        for (at, demands) in self.reports.values() {
+            if now.saturating_sub(*at) < REPORT_AGE {
+                heard += 1.0;
+                others += demands.get(&hash).copied().unwrap_or(0.0);
+            }
+        }
+        // VMs that serve and are not heard keep an even part.
+        let silent = (self.servers - 1.0 - heard).max(0.0) / self.servers;
+        if own + others <= 0.0 {
+            return (1.0 - silent) / (heard + 1.0);
+        }
+        (own / (own + others)).max(LEAST) * (1.0 - silent)
+    }
+
+    /// Asks to admit one request. An organisation without a rate is always admitted.
+    pub fn admit(&mut self, now: Uptime, id: &str) -> QuotaVerdict {
+        let Some(account) = self.accounts.get(id) else {
+            return QuotaVerdict::Admitted;
+        };
+        let demand = account.demand(now) + 1.0 / DEMAND.as_secs_f64();
+        let part = self.part(now, id, demand);
+        let Some(account) = self.accounts.get_mut(id) else {
+            return QuotaVerdict::Admitted;
+        };
+        account.demand = demand;
+        account.asked = now;
+        let refill = account.rate.per_second * part;
+        let burst = (account.rate.burst * part).max(1.0);
+        let earned = now.saturating_sub(account.at).as_secs_f64() * refill;
+        account.tokens = (account.tokens + earned).min(burst);
+        account.at = now;
+        if account.tokens >= 1.0 {
+            account.tokens -= 1.0;
+            return QuotaVerdict::Admitted;
+        }
+        let wait = (1.0 - account.tokens) / refill.max(0.1);
+        QuotaVerdict::Refused(Duration::from_secs_f64(wait.min(30.0)))
+    }
+
+    /// Gives back the token of a request that was not run.
+    pub fn refund(&mut self, id: &str) {
+        if let Some(account) = self.accounts.get_mut(id) {
+            account.tokens += 1.0;
+        }
+    }
+
+    /// Demands of this VM to report: organisations whose demand is a tenth of their rate or more.
+    pub fn demands(&self, now: Uptime) -> Vec<(u32, f64)> {
+        let demands = self.accounts.iter().map(|(id, a)| (short(id), a.demand(now), a));
+        demands
+            .filter(|(_, demand, a)| *demand >= 0.1 * a.rate.per_second)
+            .map(|(hash, demand, _)| (hash, demand))
+            .collect()
+    }
+
+    /// Takes the demands of another VM.
+    pub fn report(&mut self, now: Uptime, vm: u64, demands: impl Iterator<Item = (u32, f64)>) {
+        self.reports.retain(|_, (at, _)| now.saturating_sub(*at) < REPORT_AGE);
+        self.reports.insert(vm, (now, demands.collect()));
+    }
+}
--- /dev/null
+++ b/components/dispatch/src/split.rs
@@ -0,0 +1,30 @@
+use crate::ServiceWeight;
+
+/// Spreads the requests of a route over its services by smooth weighted round robin, so that the
+/// parts follow the weights over short spans too.
+#[derive(Clone, Debug, Default)]
+pub struct Split {
+    credits: Vec<i64>,
+}
+
+impl Split {
+    /// Position of the service that gets the next request.
+    pub fn next(&mut self, services: &[ServiceWeight]) -> usize {
+        if services.len() < 2 {
+            return 0;
+        }
+        if self.credits.len() != services.len() {
+            self.credits = vec![0; services.len()];
+        }
+        let total: i64 = services.iter().map(|s| i64::from(s.weight)).sum();
+        let mut chosen = 0;
+        for (index, service) in services.iter().enumerate() {
+            self.credits[index] += i64::from(service.weight);
+            if self.credits[index] > self.credits[chosen] {
+                chosen = index;
+            }
+        }
+        self.credits[chosen] -= total;
+        chosen
+    }
+}
--- /dev/null
+++ b/components/gateway/src/bus.rs
@@ -0,0 +1,273 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use dispatch::{Claim, Evidence, PeerBeat};
+use kernel::prelude::*;
+
+use crate::datagram::{BeatMessage, Datagram, DemandPart, EvidencePart, decode, encode};
+use crate::knowledge::confirm;
+use crate::node::Node;
+use crate::state::OtherHome;
+use crate::sync::pull;
+
+/// Largest datagram.
+const MOST_BYTES: usize = 8192;
+/// Age after which another home counts as lost.
+const HOME_LOST: Duration = Duration::from_millis(4000);
+
+/// Short hash of a backend server's id for messages.
+fn short(id: &str) -> u32 {
+    // FNV-1a: stable over processes, which the hasher of the standard library does not promise.
+    id.bytes().fold(0x811c_9dc5, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193))
+}
+
+/// Sends a datagram; a lost one is replaced by the next.
+pub async fn send(node: &Node, to: SocketAddr, datagram: &Datagram) {
+    if let Err(error) = node.socket.send_to(&encode(datagram), to).await {
+        telemetry::event!(DATAGRAM_UNSENT, vm = to.to_string(), error = error.to_string());
+    }
+}
+
+/// Addresses of the homes of other failure domains that were heard lately.
+pub fn other_homes(node: &Node) -> Vec<SocketAddr> {
+    let now = node.now();
+    let state = node.state();
+    let fresh = state.homes.values().filter(|h| h.at + HOME_LOST > now);
+    fresh.map(|h| h.beat.peers).collect()
+}
+
+/// Tells the homes of other failure domains, and that of this one if it is another VM.
+pub async fn tell_homes(node: &Node, datagram: &Datagram) {
+    let mut to = other_homes(node);
+    to.extend(own_home(node));
+    for address in to {
+        send(node, address, datagram).await;
+    }
+}
+
+/// Address of the home of this failure domain, if it is another VM.
+fn own_home(node: &Node) -> Option<SocketAddr> {
+    let state = node.state();
+    let home = state.election.home().filter(|home| *home != node.vm)?;
+    state.mates.get(&home).map(|mate| mate.peers)
+}
+
+/// What this VM tells of itself.
+pub fn own_beat(node: &Node) -> BeatMessage {
+    let now = node.now();
+    let boot = node.boot.load();
+    let (config, backends, age) = {
+        let knowledge = node.knowledge();
+        (knowledge.version, knowledge.backends, knowledge.age(now))
+    };
+    let beat = node.state().election.beat(now);
+    BeatMessage {
+        vm: node.vm,
+        domain: boot.place.domain.clone(),
+        callers: boot.listen.callers.unwrap_or(boot.listen.peers),
+        peers: boot.listen.peers,
+        uptime_ms: now.as_millis() as u64,
+        power: (beat.power * 100.0) as u32,
+        term: beat.claim.term,
+        able: beat.able,
+        config,
+        backends,
+        confirmed_ms: age.as_millis() as u64,
+    }
+}
+
+/// Tells the VMs of this failure domain.
+pub async fn tell_mates(node: &Node, datagram: &Datagram) {
+    let mates: Vec<SocketAddr> = node.state().mates.values().map(|mate| mate.peers).collect();
+    for mate in mates {
+        send(node, mate, datagram).await;
+    }
+}
+
+/// Tells other homes what this VM saw of backend servers since the last time.
+pub async fn tell_evidence(node: &Node) {
+    let untold = std::mem::take(&mut node.state().untold);
+    if untold.is_empty() {
+        return;
+    }
+    let parts = untold.iter().map(|(id, (failures, successes))| EvidencePart {
+        backend: short(id),
+        failures: *failures,
+        successes: *successes,
+    });
+    tell_homes(node, &Datagram::Evidence(parts.collect())).await;
+}
+
+/// Tells other homes of this VM's demand and of itself.
+pub async fn tell_demand(node: &Node) {
+    let now = node.now();
+    let (home, demands) = {
+        let state = node.state();
+        (state.election.home() == Some(node.vm), state.quota.demands(now))
+    };
+    if !home && demands.is_empty() {
+        return;
+    }
+    let part = |(organisation, demand): (u32, f64)| DemandPart {
+        organisation,
+        tenths: (demand * 10.0) as u32,
+    };
+    let demands: Vec<DemandPart> = demands.into_iter().map(part).collect();
+    tell_homes(node, &Datagram::Home(own_beat(node), demands)).await;
+}
+
+/// Takes messages of other VMs until the process ends.
+pub async fn receive(node: Arc<Node>) {
+    let mut buffer = vec![0; MOST_BYTES];
+    let pulling = Arc::new(AtomicBool::new(false));
+    loop {
+        let Ok((length, from)) = node.socket.recv_from(&mut buffer).await else {
+            // A port that is closed on the other side shows as an error here.
+            continue;
+        };
+        match decode(&buffer[..length]) {
+            Ok(datagram) => take(&node, from, datagram, &pulling).await,
+            Err(error) => {
+                let from = from.to_string();
+                telemetry::event!(DATAGRAM_DROPPED, vm = from, error = error.to_string());
+            }
+        }
+    }
+}
+
+async fn take(node: &Arc<Node>, from: SocketAddr, datagram: Datagram, pulling: &Arc<AtomicBool>) {
+    let now = node.now();
+    match datagram {
+        Datagram::Beat(beat) if beat.vm == node.vm => {}
+        Datagram::Beat(beat) => {
+            if beat.domain == node.boot.load().place.domain {
+                take_mate(node, now, &beat);
+            } else {
+                // A VM at its start asks a seed: tell it of the home here.
+                send(node, from, &Datagram::Home(own_beat(node), Vec::new())).await;
+            }
+            pull_newer(node, &beat, pulling);
+        }
+        Datagram::Home(beat, demands) => take_home(node, now, beat, demands, pulling).await,
+        Datagram::Stop(vm) => {
+            let mut state = node.state();
+            state.election.forget(now, vm);
+            state.mates.remove(&vm);
+            drop(state);
+            node.beat.notify_one();
+        }
+        Datagram::Evidence(parts) => take_evidence(node, now, &parts),
+        Datagram::Crash { fingerprint, deaths } => {
+            node.state().crashes.learn(now, fingerprint, deaths);
+        }
+    }
+}
+
+fn take_mate(node: &Node, now: Uptime, beat: &BeatMessage) {
+    let mut state = node.state();
+    // A VM that started again has a new incarnation at the same address.
+    state.mates.retain(|vm, mate| *vm == beat.vm || mate.peers != beat.peers);
+    let known = state.mates.insert(beat.vm, beat.clone()).is_some();
+    let home = state.election.home();
+    state.election.hear(
+        now,
+        PeerBeat {
+            vm: beat.vm,
+            uptime: Duration::from_millis(beat.uptime_ms),
+            power: f64::from(beat.power) / 100.0,
+            claim: Claim { term: beat.term, vm: if beat.term > 0 { beat.vm } else { 0 } },
+            able: beat.able,
+        },
+    );
+    let changed = state.election.home() != home;
+    drop(state);
+    if !known || changed {
+        node.beat.notify_one();
+    }
+    let same = {
+        let knowledge = node.knowledge();
+        (knowledge.version == beat.config, knowledge.backends == beat.backends)
+    };
+    confirm(node, Duration::from_millis(beat.confirmed_ms), same.0, same.1);
+}
+
+fn pull_newer(node: &Arc<Node>, beat: &BeatMessage, pulling: &Arc<AtomicBool>) {
+    let newer = {
+        let knowledge = node.knowledge();
+        beat.config > knowledge.version || beat.backends > knowledge.backends
+    };
+    if !newer || pulling.swap(true, Ordering::AcqRel) {
+        return;
+    }
+    let (node, pulling, address) = (Arc::clone(node), Arc::clone(pulling), beat.peers);
+    tokio::spawn(async move {
+        pull(node, address).await;
+        pulling.store(false, Ordering::Release);
+    });
+}
+
+async fn take_home(
+    node: &Arc<Node>,
+    now: Uptime,
+    beat: BeatMessage,
+    demands: Vec<DemandPart>,
+    pulling: &Arc<AtomicBool>,
+) {
+    let own = node.boot.load().place.domain.clone();
+    let known = node.knowledge().version > 0;
+    if !known {
+        pull_newer(node, &beat, pulling);
+    }
+    let is_home = node.state().election.home() == Some(node.vm);
+    if !is_home && beat.domain != own {
+        // Sent here because the sender does not know the home of this failure domain.
+        if let Some(home) = own_home(node) {
+            send(node, home, &Datagram::Home(beat.clone(), demands.clone())).await;
+        }
+    }
+    let peers = beat.peers;
+    let is_new = note_home(node, now, beat, &demands, &own);
+    if is_home && is_new {
+        send(node, peers, &Datagram::Home(own_beat(node), Vec::new())).await;
+    }
+}
+
+/// Notes another home and its demand; returns whether it was not known as home before.
+fn note_home(
+    node: &Node,
+    now: Uptime,
+    beat: BeatMessage,
+    demands: &[DemandPart],
+    own: &str,
+) -> bool {
+    let mut state = node.state();
+    let demand = demands.iter().map(|d| (d.organisation, f64::from(d.tenths) / 10.0));
+    state.quota.report(now, beat.vm, demand);
+    if *beat.domain == *own || beat.term == 0 {
+        return false;
+    }
+    let known = state.homes.get(&beat.domain);
+    if known.is_some_and(|h| beat.term < h.beat.term && h.at + HOME_LOST > now) {
+        return false;
+    }
+    let is_new = known.is_none_or(|h| h.beat.vm != beat.vm);
+    state.homes.insert(beat.domain.clone(), OtherHome { beat, at: now });
+    is_new
+}
+
+fn take_evidence(node: &Node, now: Uptime, parts: &[EvidencePart]) {
+    let mut state = node.state();
+    let ids: HashMap<u32, BackendId> =
+        state.backends.iter().map(|(_, b)| (short(&b.entry.id), b.entry.id.clone())).collect();
+    for part in parts {
+        let Some(id) = ids.get(&part.backend) else { continue };
+        for _ in 0..part.failures.min(3) {
+            state.backends.observe(now, id, Evidence::Failure);
+        }
+        for _ in 0..part.successes.min(3) {
+            state.backends.observe(now, id, Evidence::Success);
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/entry.rs
@@ -0,0 +1,69 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use adapter::{READINESS_PATH, entry_answer, entry_query, is_entry_path};
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+
+use crate::answer::{CallerAnswer, plain};
+use crate::node::Node;
+
+/// Age after which the home of another failure domain is not handed out.
+const HOME_AGE: std::time::Duration = std::time::Duration::from_millis(3500);
+
+/// Addresses for a caller in a failure domain: its home, or the home here if none is known.
+fn addresses(node: &Node, domain: &str) -> Vec<SocketAddr> {
+    let now = node.now();
+    let boot = node.boot.load();
+    let state = node.state();
+    if *domain != *boot.place.domain
+        && let Some(home) = state.homes.get(domain).filter(|h| h.at + HOME_AGE > now)
+    {
+        return vec![home.beat.callers];
+    }
+    match state.election.home() {
+        Some(home) if home != node.vm => {
+            if let Some(mate) = state.mates.get(&home) {
+                return vec![mate.callers];
+            }
+        }
+        _ => {}
+    }
+    let able = node.catalogue.load().is_some() && !node.is_stopping();
+    boot.listen.callers.filter(|_| able).into_iter().collect()
+}
+
+/// Answers a caller that asks for addresses.
+pub async fn entry(node: Arc<Node>, request: Request<Incoming>) -> CallerAnswer {
+    if !is_entry_path(request.uri().path()) {
+        return plain(StatusCode::NOT_FOUND, "text/plain", "ask for addresses here\n");
+    }
+    let query = entry_query(request.uri().query().unwrap_or(""));
+    let addresses = addresses(&node, &query.domain);
+    if addresses.is_empty() {
+        let message = "no VM of this failure domain is able to serve yet\n";
+        return plain(StatusCode::SERVICE_UNAVAILABLE, "text/plain", message);
+    }
+    let longest = node.boot.load().bounds.entry_ttl;
+    let body = entry_answer(&addresses, node.options.entry_ttl.min(longest));
+    plain(StatusCode::OK, "application/json", body)
+}
+
+/// Answers the platform's question whether this VM is ready.
+pub async fn readiness(node: Arc<Node>, request: Request<Incoming>) -> CallerAnswer {
+    if request.uri().path() != READINESS_PATH {
+        return plain(StatusCode::NOT_FOUND, "text/plain", "");
+    }
+    if node.is_stopping() {
+        return plain(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "stopping\n");
+    }
+    if node.catalogue.load().is_none() {
+        return plain(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "no configuration yet\n");
+    }
+    plain(StatusCode::OK, "text/plain", "ready\n")
+}
+
+/// Answers with the metrics of this VM.
+pub async fn metrics(node: Arc<Node>, _request: Request<Incoming>) -> CallerAnswer {
+    plain(StatusCode::OK, "text/plain; version=0.0.4", node.metrics.render())
+}
--- /dev/null
+++ b/components/gateway/src/knowledge.rs
@@ -0,0 +1,151 @@
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use adapter::{RawRow, decode_backend, decode_configuration};
+use dispatch::{BackendEntry, RetryAllowance};
+use kernel::prelude::*;
+
+use crate::node::Node;
+use crate::slot::pump;
+
+/// Copies of what the store says, as other VMs of the failure domain ask for them.
+#[derive(Debug, Default)]
+pub struct Knowledge {
+    /// Text of the configuration in force.
+    pub configuration: Option<Arc<[u8]>>,
+    /// Version of the configuration in force; 0 is none.
+    pub version: Version,
+    /// Usable entries of backend servers.
+    pub rows: BTreeMap<Box<str>, RawRow>,
+    /// Store version up to which `rows` is known; 0 is never.
+    pub backends: u64,
+    /// When the store last confirmed the configuration, itself or through another VM.
+    pub configuration_at: Option<Uptime>,
+    /// When the store last confirmed the backend servers, itself or through another VM.
+    pub backends_at: Option<Uptime>,
+    /// Whether this VM's own last call to the store failed.
+    pub failing: bool,
+}
+
+impl Knowledge {
+    /// Time since both parts were confirmed.
+    pub fn age(&self, now: Uptime) -> Duration {
+        match (self.configuration_at, self.backends_at) {
+            (Some(a), Some(b)) => now.saturating_sub(a.min(b)),
+            _ => Duration::from_secs(3600),
+        }
+    }
+}
+
+/// Puts a configuration into force if it is newer than the one in force.
+pub fn learn_configuration(node: &Node, value: &[u8], source: &str) {
+    let catalogue = match decode_configuration(value) {
+        Ok(catalogue) => catalogue,
+        Err(error) => {
+            telemetry::event!(CONFIG_REFUSED, source = source, error = error.to_string());
+            return;
+        }
+    };
+    let version = catalogue.version;
+    {
+        let mut knowledge = node.knowledge();
+        if knowledge.configuration.is_some() && version <= knowledge.version {
+            return;
+        }
+        knowledge.configuration = Some(value.into());
+        knowledge.version = version;
+    }
+    let now = node.now();
+    let mut state = node.state();
+    let boot = node.boot.load();
+    let servers = boot.domains.len();
+    let rates = catalogue.organisations.iter().map(|o| (&o.id, o.rate));
+    state.quota.configure(now, rates, servers);
+    let bounds = &boot.bounds;
+    for name in catalogue.services.keys() {
+        let service = state.services.entry(name.clone()).or_default();
+        if service.allowance.is_none() {
+            let slack = bounds.retry_slack / servers.max(1) as f64;
+            service.allowance =
+                Some(RetryAllowance::new(bounds.retry_ratio, slack, bounds.retry_window));
+        }
+    }
+    let routes: HashMap<&str, ()> = catalogue.routes.iter().map(|r| (&*r.id, ())).collect();
+    state.usual.retain(|id, _| routes.contains_key(&**id));
+    // Weights may have changed with the version.
+    state.splits.clear();
+    let able = !node.is_stopping();
+    state.election.set_able(able);
+    drop(state);
+    node.catalogue.store(Some(Arc::new(catalogue)));
+    telemetry::event!(CONFIG_LEARNED, version = version, source = source);
+    node.beat.notify_one();
+}
+
+fn usable(rows: &BTreeMap<Box<str>, RawRow>) -> BTreeMap<BackendId, BackendEntry> {
+    let mut entries = BTreeMap::new();
+    for (id, row) in rows {
+        // Rows that cannot be read were logged when they came.
+        if let Some(Ok(entry)) = row.value.as_deref().map(|value| decode_backend(id, value)) {
+            entries.insert(id.clone(), entry);
+        }
+    }
+    entries
+}
+
+/// Takes the rows of all backend servers as of a store version.
+pub fn learn_backends(
+    node: &Node,
+    rows: BTreeMap<Box<str>, RawRow>,
+    version: u64,
+    source: &str,
+) {
+    let entries = usable(&rows);
+    {
+        let mut knowledge = node.knowledge();
+        if version < knowledge.backends {
+            return;
+        }
+        knowledge.rows = rows;
+        knowledge.backends = version;
+    }
+    let now = node.now();
+    let mut state = node.state();
+    let before = std::mem::take(&mut state.entries);
+    for (id, entry) in &entries {
+        if before.get(id).is_none_or(|old| old.draining != entry.draining || old.born != entry.born)
+        {
+            telemetry::event!(
+                BACKEND_LISTED,
+                backend = id,
+                service = entry.service,
+                draining = entry.draining,
+                version = version,
+                source = source,
+            );
+        }
+    }
+    let (_, gone) = state.backends.update(now, &entries);
+    for (id, _) in &gone {
+        telemetry::event!(BACKEND_GONE, backend = id, version = version, source = source);
+    }
+    state.entries = entries;
+    let services: Vec<ServiceId> = state.services.keys().cloned().collect();
+    for service in services {
+        pump(node, &mut state, now, &service);
+    }
+    drop(state);
+    node.beat.notify_one();
+}
+
+/// Notes that the store has confirmed what is known, `age` ago.
+pub fn confirm(node: &Node, age: Duration, configuration: bool, backends: bool) {
+    let at = node.now().saturating_sub(age);
+    let mut knowledge = node.knowledge();
+    if configuration {
+        knowledge.configuration_at = knowledge.configuration_at.max(Some(at));
+    }
+    if backends {
+        knowledge.backends_at = knowledge.backends_at.max(Some(at));
+    }
+}
--- /dev/null
+++ b/components/gateway/src/lib.rs
@@ -0,0 +1,28 @@
+//! Serves callers on the platform: connections, watches of the store, messages between VMs.
+
+mod accept;
+mod answer;
+mod bus;
+mod datagram;
+mod drain;
+mod entry;
+mod exchange;
+mod flow;
+mod knowledge;
+mod logs;
+mod metrics;
+mod node;
+mod options;
+mod pool;
+mod roster;
+mod run;
+mod send;
+mod slot;
+mod state;
+mod sync;
+mod tick;
+mod watch;
+
+pub use datagram::{BeatMessage, Datagram, DatagramError, DemandPart, EvidencePart, decode, encode};
+pub use options::Options;
+pub use run::run;
--- /dev/null
+++ b/components/gateway/src/node.rs
@@ -0,0 +1,163 @@
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use adapter::{Boot, StoreClient, StoreTimes};
+use arc_swap::{ArcSwap, ArcSwapOption};
+use dispatch::{Backends, Catalogue, CrashSuspects, Distance, Election, PlacementOptions, Quota};
+use kernel::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+
+use crate::knowledge::Knowledge;
+use crate::metrics::Metrics;
+use crate::options::Options;
+use crate::pool::Pools;
+use crate::state::State;
+
+/// One gateway process.
+pub struct Node {
+    /// What the platform has told; changes with the settings file.
+    pub boot: ArcSwap<Boot>,
+    /// Timings.
+    pub options: Options,
+    /// This process start.
+    pub vm: Incarnation,
+    /// Configuration in force; none before the first.
+    pub catalogue: ArcSwapOption<Catalogue>,
+    /// Copies of what the store says, for other VMs.
+    pub knowledge: Mutex<Knowledge>,
+    /// Connections to backend servers.
+    pub pools: Pools,
+    /// Socket for datagrams of other VMs.
+    pub socket: UdpSocket,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Wakes the loop that sends beats.
+    pub beat: Notify,
+    /// Wakes the watches of the store when this VM has to watch.
+    pub watch: Notify,
+    state: Mutex<State>,
+    started: Instant,
+    stopping: AtomicBool,
+    stopped_ms: AtomicU64,
+    random: Mutex<SmallRng>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Node {
+    /// A process at its start.
+    pub fn new(boot: Boot, options: Options, seed: u64, socket: UdpSocket) -> Arc<Self> {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let vm = random.random::<u64>().max(1);
+        let power = boot.power;
+        let state = State {
+            backends: Backends::default(),
+            entries: Default::default(),
+            services: Default::default(),
+            quota: Quota::default(),
+            crashes: CrashSuspects::default(),
+            splits: Default::default(),
+            usual: Default::default(),
+            election: Election::new(Uptime::ZERO, vm, power),
+            mates: Default::default(),
+            homes: Default::default(),
+            untold: Default::default(),
+            placement: PlacementOptions::default(),
+        };
+        Arc::new(Node {
+            boot: ArcSwap::from_pointee(boot),
+            options,
+            vm,
+            catalogue: ArcSwapOption::empty(),
+            knowledge: Mutex::default(),
+            pools: Pools::default(),
+            socket,
+            metrics: Metrics::new(),
+            beat: Notify::new(),
+            watch: Notify::new(),
+            state: Mutex::new(state),
+            started: Instant::now(),
+            stopping: AtomicBool::new(false),
+            stopped_ms: AtomicU64::new(0),
+            random: Mutex::new(random),
+        })
+    }
+
+    /// Time since the start of this process.
+    pub fn now(&self) -> Uptime {
+        self.started.elapsed()
+    }
+
+    /// The state; never held over a wait.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        lock(&self.state)
+    }
+
+    /// Copies of what the store says; never held over a wait.
+    pub fn knowledge(&self) -> MutexGuard<'_, Knowledge> {
+        lock(&self.knowledge)
+    }
+
+    /// A random number.
+    pub fn random(&self) -> u64 {
+        lock(&self.random).random()
+    }
+
+    /// VMs of this failure domain that stand before this one in the order of watching.
+    pub fn place_in_line(&self, state: &State, now: Uptime) -> u32 {
+        if self.catalogue.load().is_some() {
+            return state.election.rank(now);
+        }
+        // Before anyone can serve, the order is that of the incarnations.
+        state.mates.keys().filter(|vm| **vm > self.vm).count() as u32
+    }
+
+    /// A client of the store with its own connection.
+    pub fn store(&self) -> StoreClient {
+        let times =
+            StoreTimes { connect: self.options.store_answer, answer: self.options.store_answer };
+        StoreClient::new(self.boot.load().store, times)
+    }
+
+    /// How far a failure domain is.
+    pub fn distance(&self, domain: &str) -> Distance {
+        let boot = self.boot.load();
+        if *boot.place.domain == *domain {
+            return Distance::Domain;
+        }
+        match boot.domains.get(domain) {
+            Some(region) if *region == boot.place.region => Distance::Region,
+            _ => Distance::Remote,
+        }
+    }
+
+    /// Address for callers.
+    pub fn callers(&self) -> Option<SocketAddr> {
+        self.boot.load().listen.callers
+    }
+
+    /// Whether the process was asked to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the process was asked to stop.
+    pub fn stop(&self) {
+        let millis = u64::try_from(self.now().as_millis()).unwrap_or(u64::MAX);
+        self.stopped_ms.store(millis, Ordering::Relaxed);
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Time since the process was asked to stop; none before.
+    pub fn stopping_for(&self) -> Option<Duration> {
+        let at = Duration::from_millis(self.stopped_ms.load(Ordering::Relaxed));
+        self.is_stopping().then(|| self.now().saturating_sub(at))
+    }
+}
--- /dev/null
+++ b/components/gateway/src/state.rs
@@ -0,0 +1,185 @@
+use std::collections::{BTreeMap, HashMap};
+
+use dispatch::{
+    BackendEntry, BackendKey, Backends, CrashSuspects, Election, Evidence, PlacementOptions, Quota,
+    RetryAllowance, Split, WaiterId, Waiter, WaitingRoom,
+};
+use kernel::prelude::*;
+use tokio::sync::oneshot;
+
+use crate::datagram::BeatMessage;
+
+/// Weight of a new sample in the usual time and size of a route's requests.
+const USUAL_GAIN: f64 = 0.05;
+/// Usual time of a request before the first answer.
+const FIRST_TIME_S: f64 = 0.3;
+/// Usual size of a request and its answer before the first answer.
+const FIRST_SIZE_KB: f64 = 3.0;
+/// Time over which the failing part of a service's requests is taken.
+const FAILING: Duration = Duration::from_secs(2);
+/// Failing part from which every backend server is tried. Below the tenth from which most of them
+/// must get work.
+const FAILING_MOST: f64 = 0.06;
+
+/// Usual time and size of a route's requests.
+#[derive(Clone, Copy, Debug)]
+pub struct Usual {
+    /// Time at a backend server, in seconds.
+    pub time: f64,
+    /// Bytes of request and answer, in kilobytes.
+    pub size: f64,
+}
+
+impl Default for Usual {
+    fn default() -> Self {
+        Usual { time: FIRST_TIME_S, size: FIRST_SIZE_KB }
+    }
+}
+
+impl Usual {
+    /// Takes one whole answer.
+    pub fn sample(&mut self, time: Duration, bytes: usize) {
+        self.time += USUAL_GAIN * (time.as_secs_f64().min(self.time * 6.0) - self.time);
+        self.size += USUAL_GAIN * (bytes as f64 / 1000.0 - self.size);
+    }
+}
+
+/// Results of a service's requests over the last seconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Results {
+    since: Uptime,
+    now: (u32, u32),
+    before: (u32, u32),
+}
+
+impl Results {
+    fn turn(&mut self, now: Uptime) {
+        if now.saturating_sub(self.since) >= FAILING {
+            self.before = self.now;
+            self.now = (0, 0);
+            self.since = now;
+        }
+    }
+
+    /// Counts a request.
+    pub fn count(&mut self, now: Uptime, served: bool) {
+        self.turn(now);
+        if served {
+            self.now.0 += 1;
+        } else {
+            self.now.1 += 1;
+        }
+    }
+
+    /// Whether so much fails that every backend server must be tried.
+    pub fn is_failing(&mut self, now: Uptime) -> bool {
+        self.turn(now);
+        let served = f64::from(self.now.0 + self.before.0);
+        let failed = f64::from(self.now.1 + self.before.1);
+        failed > 1.0 && failed / (served + failed) > FAILING_MOST
+    }
+}
+
+/// A request that waits for room.
+pub struct Waiting {
+    /// Its place in the line.
+    pub waiter: Waiter,
+    /// What its placement needs to know.
+    pub demand: Demand,
+    /// Gets the backend server.
+    pub wake: oneshot::Sender<BackendKey>,
+}
+
+/// What a placement needs to know of a request, without borrowing it.
+#[derive(Clone, Debug)]
+pub struct Demand {
+    /// Service.
+    pub service: ServiceId,
+    /// What a success is worth.
+    pub worth: f64,
+    /// Whether it can be sent once more after a failure.
+    pub repeatable: bool,
+    /// Usual time and size.
+    pub usual: Usual,
+    /// When an answer loses its full worth.
+    pub due: Uptime,
+    /// Backend servers that it was sent to before.
+    pub tried: Vec<BackendKey>,
+}
+
+/// State of one service on this VM.
+#[derive(Default)]
+pub struct ServiceState {
+    /// Order of those that wait.
+    pub room: WaitingRoom,
+    /// Those that wait.
+    pub waiting: HashMap<WaiterId, Waiting>,
+    /// Repeats that this VM may send; none before the bounds are known.
+    pub allowance: Option<RetryAllowance>,
+    /// Results of the last seconds.
+    pub results: Results,
+}
+
+/// Evidence that other homes have not been told.
+pub type Untold = BTreeMap<BackendId, (u8, u8)>;
+
+/// A home of another failure domain, or another VM that serves callers in this one.
+#[derive(Clone, Debug)]
+pub struct OtherHome {
+    /// What it told of itself.
+    pub beat: BeatMessage,
+    /// When.
+    pub at: Uptime,
+}
+
+/// Everything that requests change. Held only between waits.
+pub struct State {
+    /// Backend servers.
+    pub backends: Backends,
+    /// Entries of backend servers as the store has them.
+    pub entries: BTreeMap<BackendId, BackendEntry>,
+    /// Services.
+    pub services: HashMap<ServiceId, ServiceState>,
+    /// Rates.
+    pub quota: Quota,
+    /// Requests on which backend servers died.
+    pub crashes: CrashSuspects,
+    /// Spread of split routes.
+    pub splits: HashMap<RouteId, Split>,
+    /// Usual times and sizes of routes.
+    pub usual: HashMap<RouteId, Usual>,
+    /// Part of this VM in its failure domain.
+    pub election: Election,
+    /// VMs of this failure domain by incarnation.
+    pub mates: HashMap<Incarnation, BeatMessage>,
+    /// Homes of other failure domains.
+    pub homes: HashMap<DomainId, OtherHome>,
+    /// Evidence for other homes.
+    pub untold: Untold,
+    /// Weights of placements.
+    pub placement: PlacementOptions,
+}
+
+impl State {
+    /// Takes evidence that this VM has seen itself.
+    pub fn observe(&mut self, now: Uptime, key: BackendKey, evidence: Evidence) {
+        let Some(state) = self.backends.get_mut(key) else { return };
+        let before = state.health.gray(now);
+        state.health.observe(now, evidence);
+        let untold = self.untold.entry(state.entry.id.clone());
+        match evidence {
+            Evidence::Failure => {
+                let told = untold.or_default();
+                told.0 = told.0.saturating_add(1);
+                told.1 = 0;
+            }
+            // Good news matters where bad news was told.
+            Evidence::Success if before > 0.5 => {
+                let told = untold.or_default();
+                told.1 = told.1.saturating_add(1);
+            }
+            // What broke on the way here says nothing about the way from elsewhere.
+            _ => {}
+        }
+    }
+}
--- a/components/telemetry/src/catalogue.rs
+++ b/components/telemetry/src/catalogue.rs
@@ -21,7 +21,8 @@
 }
 
 // The hundreds group events: 1 process, 2 membership, 3 configuration, 4 backend servers,
-// 5 rights, 6 platform, 7 requests, 8 operators. A number is never used for another event.
+// 5 rights, 6 platform, 7 requests, 8 operators, 9 gateway on the platform. A number is never used
+// for another event.
 events! {
     STARTED = 101, Info, "started", "The process has started and listens.",
         "Nothing.";
@@ -125,4 +126,60 @@
         "The operator repeats it with the same change id.";
     CHANGE_WITHOUT_MAJORITY = 804, Warn, "change-without-majority", "A change was refused because this VM hears from half of the VMs or fewer.",
         "Repeat it on a VM in the larger part, or when the network is back.";
+    CONFIG_LEARNED = 901, Info, "config-learned", "A newer configuration of the platform is in force here.",
+        "Nothing; `source` says from whom it came.";
+    CONFIG_REFUSED = 902, Error, "config-refused", "A configuration of the platform cannot be used and is skipped as a whole.",
+        "Correct the configuration; the one before stays in force.";
+    BACKEND_LISTED = 903, Info, "backend-listed", "A backend server came, started again or is leaving.",
+        "Nothing.";
+    BACKEND_GONE = 904, Info, "backend-gone", "A backend server is no longer listed and gets no more work.",
+        "Nothing, if it was stopped.";
+    BACKEND_REPLACED = 905, Warn, "backend-replaced", "Another backend server answers at the address of this one.",
+        "Nothing; the request was not run and went elsewhere.";
+    BACKEND_DIED = 906, Warn, "backend-died", "A backend server broke a connection and accepts no other; the request is remembered.",
+        "Look at the backend server; see event 702 if the same request does it again.";
+    ENTRY_UNREADABLE = 907, Warn, "entry-unreadable", "A row in the table of backend servers names none that can be used.",
+        "Find who wrote it.";
+    WATCH_LOST = 911, Warn, "watch-lost", "A watch of the store failed; what is known stays in use.",
+        "Restore the platform if it lasts; other VMs of the failure domain watch meanwhile.";
+    WATCH_BACK = 912, Info, "watch-back", "A watch of the store works again.",
+        "Nothing.";
+    WATCH_REREAD = 913, Info, "watch-reread", "The store has dropped the history of a watch; the table is read anew.",
+        "Nothing.";
+    VM_LISTED = 914, Info, "vm-listed", "This VM is in the platform's table of VMs.",
+        "Nothing.";
+    VM_UNLISTED = 915, Warn, "vm-unlisted", "This VM could not enter itself into the platform's table; it is tried again.",
+        "Nothing; other VMs are found through the seeds meanwhile.";
+    HOME_TAKEN = 921, Info, "home-taken", "This VM serves the callers of its failure domain from now on.",
+        "Nothing; if it repeats, look for VMs that stop or freeze.";
+    HOME_LEFT = 922, Info, "home-left", "Another VM serves the callers of this failure domain.",
+        "Nothing.";
+    KNOWLEDGE_PULLED = 923, Info, "knowledge-pulled", "This VM took newer knowledge from another VM.",
+        "Nothing.";
+    KNOWLEDGE_UNPULLED = 924, Warn, "knowledge-unpulled", "Newer knowledge could not be taken from another VM.",
+        "Nothing; it is tried again with the next beat.";
+    DATAGRAM_DROPPED = 925, Warn, "datagram-dropped", "A message of another VM cannot be read.",
+        "Nothing while two releases run side by side; else find its sender.";
+    DATAGRAM_UNSENT = 926, Debug, "datagram-unsent", "A message to another VM could not be sent; the next one replaces it.",
+        "Nothing.";
+    SETTINGS_RELOADED = 927, Info, "settings-reloaded", "The platform's settings file has changed and is in effect.",
+        "Nothing.";
+    SETTINGS_REFUSED = 928, Error, "settings-refused", "The platform's settings file cannot be used; the one before stays in effect.",
+        "Correct the file.";
+    ACCEPT_FAILED = 929, Warn, "accept-failed", "A connection could not be accepted.",
+        "If it repeats, look for a lack of file descriptors.";
+    REQUEST_SERVED = 931, Info, "request-served", "A request was answered by a backend server; one in 64 is logged.",
+        "Nothing.";
+    REQUEST_FAILED = 932, Warn, "request-failed", "A backend server's answer that is no success was passed on.",
+        "Follow the request id through events 934 to 937.";
+    REQUEST_REFUSED = 933, Warn, "request-refused", "The gateway answered a request itself.",
+        "`kind` and `cause` say why; `outcome` whether it may have run.";
+    ATTEMPT_FAILED = 934, Warn, "attempt-failed", "An attempt at a backend server gave no success.",
+        "`gray` is the belief about the backend server after it.";
+    ATTEMPT_JUDGED = 935, Info, "attempt-judged", "What a failed attempt means for its request.",
+        "Nothing.";
+    ATTEMPT_OVERDUE = 936, Info, "attempt-overdue", "An attempt takes several times its usual time.",
+        "Nothing.";
+    REQUEST_HEDGED = 937, Info, "request-hedged", "A second attempt runs beside an overdue one.",
+        "Nothing.";
 }
--- /dev/null
+++ b/src/bin/papayareel-gateway.rs
@@ -0,0 +1,43 @@
+//! The gateway: one VM of the fleet on the platform.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use gateway::Options;
+
+/// One VM of the papayareel fleet on the platform.
+#[derive(FromArgs)]
+struct Args {
+    /// check the settings files and exit
+    #[argh(switch)]
+    check: bool,
+
+    /// seed of the random generator; drawn anew without it
+    #[argh(option)]
+    seed: Option<u64>,
+
+    /// the platform's settings file; by default the one that the platform names
+    #[argh(positional)]
+    boot: Option<PathBuf>,
+}
+
+fn run(args: Args) -> anyhow::Result<()> {
+    if args.check {
+        let path = args.boot.unwrap_or_else(adapter::boot_path);
+        adapter::read_boot(&path)?;
+        println!("{} is valid", path.display());
+        return Ok(());
+    }
+    gateway::run(args.boot, Options::default(), args.seed)
+}
+
+fn main() -> ExitCode {
+    match run(argh::from_env()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("papayareel-gateway: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
