--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -1,7 +1,6 @@
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use adapter::{Boot, StoreClient, StoreTimes};
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -43,7 +42,6 @@
     state: Mutex<State>,
     started: Instant,
     stopping: AtomicBool,
-    stopped_ms: AtomicU64,
     random: Mutex<SmallRng>,
 }
 
@@ -85,7 +83,6 @@
             state: Mutex::new(state),
             started: Instant::now(),
             stopping: AtomicBool::new(false),
-            stopped_ms: AtomicU64::new(0),
             random: Mutex::new(random),
         })
     }
@@ -138,11 +135,6 @@
         }
     }
 
-    /// Address for callers.
-    pub fn callers(&self) -> Option<SocketAddr> {
-        self.boot.load().listen.callers
-    }
-
     /// Whether the process was asked to stop.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
@@ -150,14 +142,6 @@
 
     /// Notes that the process was asked to stop.
     pub fn stop(&self) {
-        let millis = u64::try_from(self.now().as_millis()).unwrap_or(u64::MAX);
-        self.stopped_ms.store(millis, Ordering::Relaxed);
         self.stopping.store(true, Ordering::Relaxed);
     }
-
-    /// Time since the process was asked to stop; none before.
-    pub fn stopping_for(&self) -> Option<Duration> {
-        let at = Duration::from_millis(self.stopped_ms.load(Ordering::Relaxed));
-        self.is_stopping().then(|| self.now().saturating_sub(at))
-    }
 }
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -39,8 +39,6 @@
 /// A connection that carries one request at a time. Dropping it closes it.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    /// Whether it has carried a request before.
-    pub reused: bool,
 }
 
 /// Idle connections to backend servers.
@@ -78,7 +76,7 @@
         limit: Duration,
     ) -> Result<Connection, SendError> {
         if let Some(sender) = self.take(key, age) {
-            return Ok(Connection { sender, reused: true });
+            return Ok(Connection { sender });
         }
         let stream = tokio::time::timeout(limit, TcpStream::connect(address))
             .await
@@ -94,7 +92,7 @@
             // Whoever waits for an answer sees the same error.
             let _ = connection.await;
         });
-        Ok(Connection { sender, reused: false })
+        Ok(Connection { sender })
     }
 
     /// Takes back a connection whose answer was read to its end. `keep` is how long the backend
