Let standbys that hear no home watch the store themselves

Change: the decision is Watcher in components/dispatch; silence of the home for 1.1 s is enough, a home tells that its calls fail, and a feed waits 1.5 s.

--- /dev/null
+++ b/components/dispatch/src/duty.rs
@@ -0,0 +1,53 @@
+use std::time::Duration;
+
+/// Silence of the home after which every standby watches the store itself. Longer than the time
+/// in which another standby takes over, well below the 2.5 s in which a change must be in force.
+const CUT_OFF: Duration = Duration::from_millis(1100);
+/// Age of what the failure domain knows from which the first standby watches too: more than a
+/// feed of the home waits.
+const STALE: Duration = Duration::from_millis(1900);
+/// Age from which the first standby watches when the home has said that its calls fail.
+const FAILING: Duration = Duration::from_millis(300);
+/// More age for each standby that stands before.
+const STEP: Duration = Duration::from_millis(400);
+/// Time after the start in which other VMs can tell this one what they know.
+const HEARSAY: Duration = Duration::from_millis(300);
+
+/// What a VM knows of its failure domain when it decides whether to watch the store.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Watcher {
+    /// Whether this VM is the home.
+    pub home: bool,
+    /// Standbys that stand before this one.
+    pub place: u32,
+    /// Time since the start of this process.
+    pub uptime: Duration,
+    /// Whether it has a configuration and a list of backend servers.
+    pub informed: bool,
+    /// Time since the store confirmed what it knows, to itself or to another VM.
+    pub age: Duration,
+    /// Time since the home was heard; none before the first time.
+    pub silence: Option<Duration>,
+    /// Whether the home has said that its calls to the store fail.
+    pub failing: bool,
+}
+
+impl Watcher {
+    /// Whether this VM watches the store.
+    ///
+    /// Answers VMs that are cut off from the others but not from the store, and a store that
+    /// refuses some VMs: few VMs watch while all is well, and every VM that hears nothing does.
+    pub fn has_duty(&self) -> bool {
+        if self.home {
+            return true;
+        }
+        if !self.informed {
+            return self.uptime > HEARSAY * (self.place + 1);
+        }
+        if self.silence.unwrap_or(self.uptime) > CUT_OFF {
+            return true;
+        }
+        let stale = if self.failing { FAILING } else { STALE };
+        self.age > stale + STEP * self.place
+    }
+}
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 mod catalogue;
 mod backends;
 mod crashes;
+mod duty;
 mod election;
 mod health;
 mod placement;
@@ -20,6 +21,7 @@
     GatewayRoute, GatewayService, OrganisationIndex, RouteIndex, ServiceWeight,
 };
 pub use crashes::{CrashSuspects, MAX_DEATHS};
+pub use duty::Watcher;
 pub use election::{Claim, Election, PeerBeat, Role};
 pub use health::{Evidence, Health};
 pub use placement::{Choice, Distance, PlacementOptions, Request, place};
--- a/components/gateway/src/bus.rs
+++ b/components/gateway/src/bus.rs
@@ -58,9 +58,9 @@
 pub fn own_beat(node: &Node) -> BeatMessage {
     let now = node.now();
     let boot = node.boot.load();
-    let (config, backends, age) = {
+    let (config, backends, age, failing) = {
         let knowledge = node.knowledge();
-        (knowledge.version, knowledge.backends, knowledge.age(now))
+        (knowledge.version, knowledge.backends, knowledge.age(now), knowledge.failing)
     };
     let beat = node.state().election.beat(now);
     BeatMessage {
@@ -75,6 +75,7 @@
         config,
         backends,
         confirmed_ms: age.as_millis() as u64,
+        failing,
     }
 }
 
@@ -182,6 +183,9 @@
         },
     );
     let changed = state.election.home() != home;
+    if state.election.home() == Some(beat.vm) {
+        state.home_heard = Some(now);
+    }
     drop(state);
     if !known || changed {
         node.beat.notify_one();
--- a/components/gateway/src/datagram.rs
+++ b/components/gateway/src/datagram.rs
@@ -43,6 +43,8 @@
     pub backends: u64,
     /// Time since its knowledge was confirmed by the store, in milliseconds.
     pub confirmed_ms: u64,
+    /// Whether its last call to the store failed.
+    pub failing: bool,
 }
 
 /// Evidence about a backend server.
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -66,6 +66,7 @@
             election: Election::new(Uptime::ZERO, vm, power),
             mates: Default::default(),
             homes: Default::default(),
+            home_heard: None,
             untold: Default::default(),
             placement: PlacementOptions::default(),
         };
--- a/components/gateway/src/options.rs
+++ b/components/gateway/src/options.rs
@@ -40,8 +40,8 @@
         Options {
             connect: Duration::from_millis(350),
             connect_remote: Duration::from_millis(450),
-            feed_wait: Duration::from_millis(2000),
-            store_answer: Duration::from_millis(1000),
+            feed_wait: Duration::from_millis(1500),
+            store_answer: Duration::from_millis(700),
             store_pause: Duration::from_millis(250),
             store_pause_most: Duration::from_millis(1000),
             return_grace: Duration::from_millis(2300),
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -154,6 +154,8 @@
     pub mates: HashMap<Incarnation, BeatMessage>,
     /// Homes of other failure domains.
     pub homes: HashMap<DomainId, OtherHome>,
+    /// When the home of this failure domain was last heard.
+    pub home_heard: Option<Uptime>,
     /// Evidence for other homes.
     pub untold: Untold,
     /// Weights of placements.
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -2,40 +2,37 @@
 use std::sync::Arc;
 
 use adapter::{RawRow, StoreError, Table, decode_backend};
+use dispatch::Watcher;
 use kernel::prelude::*;
 use tokio::time::sleep;
 
 use crate::knowledge::{confirm, learn_backends, learn_configuration};
 use crate::node::Node;
 
-/// Age of what the failure domain knows from which a standby watches too.
-const STALE: Duration = Duration::from_millis(2800);
-/// More age for each standby that stands before.
-const STALE_STEP: Duration = Duration::from_millis(700);
-/// Time after the start in which other VMs can tell this one what they know.
-const HEARSAY: Duration = Duration::from_millis(350);
 /// Longest pause between two checks whether this VM has to watch.
 const CHECK: Duration = Duration::from_millis(200);
 /// Key of the configuration in its table.
 const CONFIGURATION: &str = "config";
 
-/// Whether this VM watches the store: the home does, and the standbys in their order when what
-/// the failure domain knows grows old.
+/// Whether this VM watches the store now.
 fn has_to_watch(node: &Node) -> bool {
     let now = node.now();
-    let (known, age) = {
+    let (informed, age) = {
         let knowledge = node.knowledge();
-        (knowledge.version > 0, knowledge.age(now))
+        (knowledge.version > 0 && knowledge.backends > 0, knowledge.age(now))
     };
     let state = node.state();
-    if state.election.home() == Some(node.vm) {
-        return true;
+    let home = state.election.home();
+    Watcher {
+        home: home == Some(node.vm),
+        place: node.place_in_line(&state, now),
+        uptime: now,
+        informed,
+        age,
+        silence: state.home_heard.map(|at| now.saturating_sub(at)),
+        failing: home.and_then(|vm| state.mates.get(&vm)).is_some_and(|mate| mate.failing),
     }
-    let place = node.place_in_line(&state, now);
-    if !known {
-        return now > HEARSAY * (place + 1);
-    }
-    age > STALE + STALE_STEP * place
+    .has_duty()
 }
 
 /// Pauses after failed calls, longer each time.
