Believe in gray spells for their usual length, explore at home only, use the rates' tolerance

Change: a gray spell has a learned length; homes explore their own failure domain only, from 9 in 100 failing; new backend servers get a first request; buckets start empty and use 0.4 of the platform's tolerance.

--- a/components/dispatch/src/backends.rs
+++ b/components/dispatch/src/backends.rs
@@ -4,7 +4,7 @@
 use kernel::prelude::*;
 use slotmap::{SlotMap, new_key_type};
 
-use crate::{Evidence, Health};
+use crate::{Evidence, Health, SpellLength};
 
 /// Time that a connection failure keeps a backend server last in line on this VM.
 const UNREACHABLE: Duration = Duration::from_millis(1500);
@@ -66,8 +66,10 @@
     pub others: (u32, Uptime),
     /// Until when it is slow after its start.
     pub cold_until: Uptime,
+    /// When it was first listed.
+    pub seen: Uptime,
     /// When this VM last sent it a request.
-    pub used: Uptime,
+    pub used: Option<Uptime>,
     /// When it refused a request unrun.
     pub shed: Option<Uptime>,
 }
@@ -81,7 +83,8 @@
             reach: Reach::default(),
             busy: 0,
             others: (0, Uptime::ZERO),
-            used: Uptime::ZERO,
+            seen: now,
+            used: None,
             shed: None,
         }
     }
@@ -117,6 +120,8 @@
     states: SlotMap<BackendKey, BackendState>,
     ids: HashMap<BackendId, BackendKey>,
     services: HashMap<ServiceId, Vec<BackendKey>>,
+    /// Usual length of gray spells.
+    length: SpellLength,
 }
 
 impl Backends {
@@ -193,10 +198,20 @@
         }
     }
 
-    /// Takes evidence that another VM has seen.
-    pub fn observe(&mut self, now: Uptime, id: &str, evidence: Evidence) {
-        if let Some(state) = self.find(id).and_then(|key| self.states.get_mut(key)) {
-            state.health.observe(now, evidence);
+    /// Usual length of gray spells.
+    pub fn length(&self) -> SpellLength {
+        self.length
+    }
+
+    /// Probability that a backend server is gray; 0 for one that has left.
+    pub fn gray(&self, now: Uptime, key: BackendKey) -> f64 {
+        self.states.get(key).map_or(0.0, |state| state.health.gray(now, self.length))
+    }
+
+    /// Takes evidence about a backend server.
+    pub fn observe(&mut self, now: Uptime, key: BackendKey, evidence: Evidence) {
+        if let Some(state) = self.states.get_mut(key) {
+            state.health.observe(now, evidence, &mut self.length);
         }
     }
 }
--- a/components/dispatch/src/health.rs
+++ b/components/dispatch/src/health.rs
@@ -2,21 +2,26 @@
 
 use kernel::Uptime;
 
-/// Part of the backend servers that fail most of their requests at an ordinary moment.
-const USUAL_GRAY: f64 = 0.2;
-/// Time in which the belief about an unobserved backend server returns to the usual one by all
-/// but a third: about the length of a gray spell.
-const MEMORY: Duration = Duration::from_millis(3000);
+/// Part of the backend servers that are gray at an ordinary moment.
+const USUAL_GRAY: f64 = 0.3;
 /// Part of the requests that a sound backend server fails.
 const SOUND_FAILS: f64 = 0.015;
 /// Part of the requests that a gray backend server fails.
 const GRAY_FAILS: f64 = 0.85;
+/// Belief from which a backend server counts as in a gray spell.
+const IN_SPELL: f64 = 0.5;
 /// Weight of a new sample in the slowness of a backend server.
 const SLOWNESS_GAIN: f64 = 0.2;
 /// Largest ratio of one answer's time to the usual time that counts.
 const SLOWNESS_CAP: f64 = 8.0;
 /// Time in which the slowness of an unused backend server is forgotten by half.
 const SLOWNESS_HALF: Duration = Duration::from_secs(4);
+/// Length of a gray spell before any was seen: several seconds.
+const SPELL_FIRST: f64 = 8.0;
+/// Shortest and longest length of a gray spell that is believed, in seconds.
+const SPELL_RANGE: (f64, f64) = (2.0, 20.0);
+/// Weight of a new spell in the usual length.
+const SPELL_GAIN: f64 = 0.1;
 
 /// What one request tells of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -48,17 +53,43 @@
     }
 }
 
-/// Belief that a backend server is gray: a filter over a Markov chain with the two states sound
-/// and gray (Rabiner 1989, section III), observed through the requests that it answers.
+/// Usual length of gray spells, learned from those that ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SpellLength(f64);
+
+impl Default for SpellLength {
+    fn default() -> Self {
+        SpellLength(SPELL_FIRST)
+    }
+}
+
+impl SpellLength {
+    /// The usual length.
+    pub fn get(self) -> Duration {
+        Duration::from_secs_f64(self.0)
+    }
+
+    /// Takes the length of a spell that ended.
+    pub fn ended(&mut self, length: Duration) {
+        let (least, most) = SPELL_RANGE;
+        self.0 += SPELL_GAIN * (length.as_secs_f64().clamp(least, most) - self.0);
+    }
+}
+
+/// Belief that a backend server is gray: a filter over a chain with the two states sound and gray
+/// (Rabiner 1989, section III), observed through the requests that it answers. Gray spells have a
+/// usual length, so that the belief holds for that time and returns to the usual one after it
+/// (an explicit duration, section IV.D there).
 ///
-/// Answers gray spells of a few seconds on a fifth or more of the backend servers: one failure is
-/// enough to avoid a backend server, one success enough to prefer it, and without requests the
-/// belief returns to the usual one.
+/// Answers gray spells of several seconds on a third of the backend servers: one failure is enough
+/// to avoid a backend server until its spell is likely over, one success enough to prefer it.
 #[derive(Clone, Debug)]
 pub struct Health {
     /// Probability of being gray at `at`. In [0, 1].
     gray: f64,
     at: Uptime,
+    /// Start of the gray spell that it is believed to be in.
+    spell: Option<Uptime>,
     /// Ratio of its answers' times to the usual times. Above 0.
     slowness: f64,
     slowed: Uptime,
@@ -67,27 +98,45 @@
 impl Health {
     /// Belief about a backend server that was never used.
     pub fn new(now: Uptime) -> Self {
-        Health { gray: USUAL_GRAY, at: now, slowness: 1.0, slowed: now }
+        Health { gray: USUAL_GRAY, at: now, spell: None, slowness: 1.0, slowed: now }
     }
 
     /// Probability of being gray now.
-    pub fn gray(&self, now: Uptime) -> f64 {
+    pub fn gray(&self, now: Uptime, length: SpellLength) -> f64 {
+        let usual = length.get().as_secs_f64();
+        if let Some(start) = self.spell {
+            let over = now.saturating_sub(start).as_secs_f64() > usual;
+            return if over { USUAL_GRAY } else { self.gray };
+        }
+        // A spell can have started since; after a whole length nothing is known.
         let age = now.saturating_sub(self.at).as_secs_f64();
-        USUAL_GRAY + (self.gray - USUAL_GRAY) * (-age / MEMORY.as_secs_f64()).exp()
+        self.gray + (USUAL_GRAY - self.gray) * (age / usual).min(1.0)
     }
 
     /// Probability that a request fails now.
-    pub fn failure(&self, now: Uptime) -> f64 {
-        let gray = self.gray(now);
+    pub fn failure(&self, now: Uptime, length: SpellLength) -> f64 {
+        let gray = self.gray(now, length);
         gray * GRAY_FAILS + (1.0 - gray) * SOUND_FAILS
     }
 
-    /// Takes one piece of evidence.
-    pub fn observe(&mut self, now: Uptime, evidence: Evidence) {
-        let prior = self.gray(now);
+    /// Takes one piece of evidence; learns the length of a spell that it ends.
+    pub fn observe(&mut self, now: Uptime, evidence: Evidence, length: &mut SpellLength) {
+        let prior = self.gray(now, *length);
         let (sound, gray) = evidence.likelihoods();
         let joint = prior * gray;
+        let spell = self.spell;
+        let over = spell.is_some_and(|start| now.saturating_sub(start) > length.get());
         self.gray = joint / (joint + (1.0 - prior) * sound);
+        // The last evidence is a lower bound for the start of a spell; most start right before
+        // the first failure.
+        self.spell = match spell {
+            _ if self.gray < IN_SPELL => None,
+            Some(start) if !over => Some(start),
+            _ => Some(now),
+        };
+        if let (Some(start), None) = (spell, self.spell) {
+            length.ended(now.saturating_sub(start));
+        }
         self.at = now;
     }
 
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -1,6 +1,6 @@
 use kernel::Uptime;
 
-use crate::{BackendKey, BackendState};
+use crate::{BackendKey, BackendState, SpellLength};
 
 /// How far a backend server is from this VM.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -85,9 +85,10 @@
     state: &BackendState,
     distance: Distance,
     request: &Request<'_>,
+    length: SpellLength,
     options: &PlacementOptions,
 ) -> f64 {
-    let mut failure = state.health.failure(now);
+    let mut failure = state.health.failure(now, length);
     if now < state.reach.until {
         // It can still be tried: a failure to connect costs time and leaves the request unsent.
         failure = failure.max(0.8);
@@ -106,8 +107,12 @@
     // Beyond its slots a request waits there for those before it.
     time *= 1.0 + (load + 1.0 / f64::from(state.entry.slots) - 1.0).max(0.0);
     let late = ((time + trip) / request.left.max(0.05)).min(2.0);
-    let idle = now.saturating_sub(state.used).as_secs_f64();
-    let starved = if request.explore && idle > options.starved { 1.0 } else { 0.0 };
+    let idle = now.saturating_sub(state.used.unwrap_or(state.seen)).as_secs_f64();
+    // Each home tries the backend servers of its own failure domain.
+    let tries = (request.explore || state.used.is_none())
+        && distance == Distance::Domain
+        && idle > options.starved;
+    let starved = if tries { 1.0 } else { 0.0 };
     let load_cost = 0.02 * load * load;
     request.worth * (failure * retried + 0.25 * late * late + load_cost - starved) + transfer
 }
@@ -127,6 +132,7 @@
     now: Uptime,
     candidates: impl Iterator<Item = (BackendKey, &'a BackendState, Distance)>,
     request: &Request<'_>,
+    length: SpellLength,
     options: &PlacementOptions,
 ) -> Choice {
     let mut best: Option<(f64, BackendKey)> = None;
@@ -137,7 +143,7 @@
             continue;
         }
         any = true;
-        let cost = cost(now, state, distance, request, options);
+        let cost = cost(now, state, distance, request, length, options);
         if has_room(now, state) {
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, key));
--- a/components/dispatch/src/quota.rs
+++ b/components/dispatch/src/quota.rs
@@ -7,6 +7,9 @@
 const DEMAND: Duration = Duration::from_millis(1500);
 /// Age after which the demand that another VM reported counts no more.
 const REPORT_AGE: Duration = Duration::from_millis(3500);
+/// Part of the tolerance that VMs use to refuse nothing within a rate while their parts follow the
+/// demand; the rest covers VMs that start, stop or take over.
+const USED: f64 = 0.4;
 /// Least part of a rate that a VM with demand uses, so that a first request is not refused.
 const LEAST: f64 = 0.02;
 
@@ -46,8 +49,19 @@
     accounts: HashMap<OrganisationId, Account>,
     /// Demand by VM and organisation, with the time of the report.
     reports: HashMap<u64, (Uptime, HashMap<u32, f64>)>,
-    /// Parts of a new VM: one over the number of VMs that serve.
+    /// Usual number of VMs that serve at once.
     servers: f64,
+    tolerance: Tolerance,
+    configured: bool,
+}
+
+/// How far all VMs together may go beyond a rate.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Tolerance {
+    /// Part of the rate and burst.
+    pub part: f64,
+    /// Requests in a window.
+    pub requests: f64,
 }
 
 /// Short hash of an organisation's name for reports.
@@ -63,8 +77,12 @@
         now: Uptime,
         rates: impl Iterator<Item = (&'a OrganisationId, Option<Rate>)>,
         servers: usize,
+        tolerance: Tolerance,
     ) {
         self.servers = servers.max(1) as f64;
+        self.tolerance = tolerance;
+        // A process that starts cannot know what others have spent just before.
+        let first = !std::mem::replace(&mut self.configured, true);
         let mut accounts = HashMap::new();
         for (id, rate) in rates {
             let Some(rate) = rate else { continue };
@@ -72,7 +90,7 @@
                 Some(old) => Account { tokens: old.tokens.min(rate.burst), rate, ..old },
                 None => Account {
                     rate,
-                    tokens: rate.burst / self.servers,
+                    tokens: if first { 0.0 } else { rate.burst / self.servers },
                     at: now,
                     demand: 0.0,
                     asked: now,
@@ -114,8 +132,9 @@
         };
         account.demand = demand;
         account.asked = now;
-        let refill = account.rate.per_second * part;
-        let burst = (account.rate.burst * part).max(1.0);
+        let refill = account.rate.per_second * part * (1.0 + USED * self.tolerance.part);
+        let spare = USED * self.tolerance.requests / self.servers;
+        let burst = (account.rate.burst * part).max(1.0) + spare;
         let earned = now.saturating_sub(account.at).as_secs_f64() * refill;
         account.tokens = (account.tokens + earned).min(burst);
         account.at = now;
--- a/components/gateway/src/bus.rs
+++ b/components/gateway/src/bus.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use dispatch::{Claim, Evidence, PeerBeat};
+use dispatch::{BackendKey, Claim, Evidence, PeerBeat};
 use kernel::prelude::*;
 
 use crate::datagram::{BeatMessage, Datagram, DemandPart, EvidencePart, decode, encode};
@@ -263,15 +263,15 @@
 
 fn take_evidence(node: &Node, now: Uptime, parts: &[EvidencePart]) {
     let mut state = node.state();
-    let ids: HashMap<u32, BackendId> =
-        state.backends.iter().map(|(_, b)| (short(&b.entry.id), b.entry.id.clone())).collect();
+    let keys: HashMap<u32, BackendKey> =
+        state.backends.iter().map(|(key, b)| (short(&b.entry.id), key)).collect();
     for part in parts {
-        let Some(id) = ids.get(&part.backend) else { continue };
+        let Some(key) = keys.get(&part.backend) else { continue };
         for _ in 0..part.failures.min(3) {
-            state.backends.observe(now, id, Evidence::Failure);
+            state.backends.observe(now, *key, Evidence::Failure);
         }
         for _ in 0..part.successes.min(3) {
-            state.backends.observe(now, id, Evidence::Success);
+            state.backends.observe(now, *key, Evidence::Success);
         }
     }
 }
--- a/components/gateway/src/knowledge.rs
+++ b/components/gateway/src/knowledge.rs
@@ -60,8 +60,8 @@
     let boot = node.boot.load();
     let servers = boot.domains.len();
     let rates = catalogue.organisations.iter().map(|o| (&o.id, o.rate));
-    state.quota.configure(now, rates, servers);
     let bounds = &boot.bounds;
+    state.quota.configure(now, rates, servers, bounds.quota);
     for name in catalogue.services.keys() {
         let service = state.services.entry(name.clone()).or_default();
         if service.allowance.is_none() {
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -404,7 +404,7 @@
     if seen == Some(Evidence::Success) {
         return;
     }
-    let gray = state.backends.get(key).map_or(0.0, |b| b.health.gray(now));
+    let gray = state.backends.gray(now, key);
     drop(state);
     telemetry::event!(
         ATTEMPT_FAILED,
--- a/components/gateway/src/slot.rs
+++ b/components/gateway/src/slot.rs
@@ -65,7 +65,7 @@
         .backends
         .of(&demand.service)
         .map(|(key, backend)| (key, backend, distance_of(node, backend)));
-    place(now, candidates, &request, &options)
+    place(now, candidates, &request, state.backends.length(), &options)
 }
 
 fn distance_of(node: &Node, backend: &BackendState) -> Distance {
@@ -75,7 +75,7 @@
 fn reserve(state: &mut State, now: Uptime, key: BackendKey, service: &str) {
     if let Some(backend) = state.backends.get_mut(key) {
         backend.busy += 1;
-        backend.used = now;
+        backend.used = Some(now);
     }
     if let Some(service) = state.services.get_mut(service) {
         service.room.started(now);
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -17,9 +17,9 @@
 const FIRST_SIZE_KB: f64 = 3.0;
 /// Time over which the failing part of a service's requests is taken.
 const FAILING: Duration = Duration::from_secs(2);
-/// Failing part from which every backend server is tried. Below the tenth from which most of them
-/// must get work.
-const FAILING_MOST: f64 = 0.06;
+/// Failing part from which every backend server is tried: just below the tenth from which most of
+/// them must get work.
+const FAILING_MOST: f64 = 0.09;
 
 /// Usual time and size of a route's requests.
 #[derive(Clone, Copy, Debug)]
@@ -165,9 +165,9 @@
 impl State {
     /// Takes evidence that this VM has seen itself.
     pub fn observe(&mut self, now: Uptime, key: BackendKey, evidence: Evidence) {
-        let Some(state) = self.backends.get_mut(key) else { return };
-        let before = state.health.gray(now);
-        state.health.observe(now, evidence);
+        let before = self.backends.gray(now, key);
+        self.backends.observe(now, key, evidence);
+        let Some(state) = self.backends.get(key) else { return };
         let untold = self.untold.entry(state.entry.id.clone());
         match evidence {
             Evidence::Failure => {
