Try backend servers only as far as the floor asks, by requests that can repeat

Cause: on the grown sites FLOOR broke (8 of 21 sound backend servers without work while a tenth failed): few of many are needed, and gray ones count as sound. Change: Coverage in placement.rs: beyond the floor's share the longest unused backend servers of the own failure domain are tried, by requests that can repeat where there are any; new ones always get a first request. Refusals by rate count as unserved. Rates use 0.2 of the tolerance, demand is told from 0.22 of a rate.

--- a/components/dispatch/src/health.rs
+++ b/components/dispatch/src/health.rs
@@ -3,7 +3,7 @@
 use kernel::Uptime;
 
 /// Part of the backend servers that are gray at an ordinary moment.
-const USUAL_GRAY: f64 = 0.3;
+const USUAL_GRAY: f64 = 0.35;
 /// Part of the requests that a sound backend server fails.
 const SOUND_FAILS: f64 = 0.015;
 /// Part of the requests that a gray backend server fails.
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -24,7 +24,7 @@
 pub use duty::Watcher;
 pub use election::{Claim, Election, PeerBeat, Role};
 pub use health::{Evidence, Health, SpellLength};
-pub use placement::{Choice, Distance, PlacementOptions, Request, place};
+pub use placement::{Choice, Coverage, Distance, PlacementOptions, Request, place};
 pub use quota::{Quota, QuotaVerdict, Tolerance};
 pub use split::Split;
 pub use waiting::{Rejected, Waiter, WaiterId, WaitingRoom};
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -64,8 +64,41 @@
     pub left: f64,
     /// Backend servers that it was sent to before.
     pub tried: &'a [BackendKey],
-    /// Whether the service fails so much that all its backend servers must be tried.
-    pub explore: bool,
+    /// How many backend servers may go without work.
+    pub coverage: Coverage,
+}
+
+/// How many backend servers of the own failure domain may go without work for a while.
+///
+/// Answers a service that fails widely, or that a kill of many VMs is about to fail: work on few
+/// backend servers must not hide that others are sound. Beyond the allowance, those that had no
+/// work for longest are tried, the least suspect first.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Coverage {
+    /// Least part of the backend servers of a service that must get work.
+    pub floor: f64,
+    /// Part of the service's requests that fails.
+    pub failing: f64,
+    /// Whether requests that can be sent once more come often enough to do the trying.
+    pub spared: bool,
+}
+
+impl Coverage {
+    /// Failing part from which the floor binds strictly: just below the tenth from which it is
+    /// counted.
+    const STRICT_FROM: f64 = 0.085;
+    /// Coverage above the floor, as the trying takes time.
+    const MARGIN: f64 = 0.03;
+
+    /// Backend servers out of `count` that may go without work.
+    pub fn allowance(&self, count: usize) -> usize {
+        let idle = (1.0 - self.floor - Self::MARGIN).max(0.0) * count as f64;
+        if self.failing > Self::STRICT_FROM {
+            return idle as usize;
+        }
+        // One of a few is likely to be gray, and trying it fails requests.
+        (idle as usize).max(1)
+    }
 }
 
 /// Where a request goes.
@@ -79,12 +112,37 @@
     Nowhere,
 }
 
+/// Whether a backend server has had no work for a while.
+fn is_starved(now: Uptime, state: &BackendState, options: &PlacementOptions) -> bool {
+    let idle = now.saturating_sub(state.used.unwrap_or(state.seen)).as_secs_f64();
+    idle > options.starved
+}
+
+/// Whether backend servers without work are tried with this request.
+fn explores(
+    now: Uptime,
+    candidates: &[(BackendKey, &BackendState, Distance)],
+    request: &Request<'_>,
+    options: &PlacementOptions,
+) -> bool {
+    if request.coverage.spared && !request.repeatable {
+        return false;
+    }
+    let own = || {
+        let own = candidates.iter().filter(|(_, _, distance)| *distance == Distance::Domain);
+        own.filter(|(_, state, _)| !state.entry.draining)
+    };
+    let starved = own().filter(|(_, state, _)| is_starved(now, state, options)).count();
+    starved > request.coverage.allowance(own().count())
+}
+
 /// Expected loss of sending a request to a backend server, in the unit of its worth.
 pub fn cost(
     now: Uptime,
     state: &BackendState,
     distance: Distance,
     request: &Request<'_>,
+    explore: bool,
     length: SpellLength,
     options: &PlacementOptions,
 ) -> f64 {
@@ -107,11 +165,10 @@
     // Beyond its slots a request waits there for those before it.
     time *= 1.0 + (load + 1.0 / f64::from(state.entry.slots) - 1.0).max(0.0);
     let late = ((time + trip) / request.left.max(0.05)).min(2.0);
-    let idle = now.saturating_sub(state.used.unwrap_or(state.seen)).as_secs_f64();
     // Each home tries the backend servers of its own failure domain.
-    let tries = (request.explore || state.used.is_none())
+    let tries = (explore || state.used.is_none())
         && distance == Distance::Domain
-        && idle > options.starved;
+        && is_starved(now, state, options);
     let starved = if tries { 1.0 } else { 0.0 };
     let load_cost = 0.02 * load * load;
     request.worth * (failure * retried + 0.25 * late * late + load_cost - starved) + transfer
@@ -135,6 +192,8 @@
     length: SpellLength,
     options: &PlacementOptions,
 ) -> Choice {
+    let candidates: Vec<_> = candidates.collect();
+    let explore = explores(now, &candidates, request, options);
     let mut best: Option<(f64, BackendKey)> = None;
     let mut best_full: Option<f64> = None;
     let mut any = false;
@@ -143,7 +202,7 @@
             continue;
         }
         any = true;
-        let cost = cost(now, state, distance, request, length, options);
+        let cost = cost(now, state, distance, request, explore, length, options);
         if has_room(now, state) {
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, key));
--- a/components/dispatch/src/quota.rs
+++ b/components/dispatch/src/quota.rs
@@ -9,14 +9,14 @@
 const REPORT_AGE: Duration = Duration::from_millis(3500);
 /// Part of the tolerance that VMs use to refuse nothing within a rate while their parts follow the
 /// demand; the rest covers VMs that start, stop or take over.
-const USED: f64 = 0.4;
+const USED: f64 = 0.2;
 /// Demand that each VM is taken to have besides, as a part of the rate: without any, every VM would
 /// own the whole burst.
 const PRIOR: f64 = 0.1;
 /// Part of its rate from which an organisation's demand is reported at all.
 const REPORTED: f64 = 0.1;
 /// Part of its rate from which an organisation's demand is reported often.
-const PRESSING: f64 = 0.4;
+const PRESSING: f64 = 0.22;
 
 /// What a quota says to a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -119,7 +119,12 @@
         });
         node.pools.give_back(key, connection, keep);
     }
-    Ended::Answered(Answer { status: parts.status, headers: parts.headers, head, body: body.freeze() })
+    Ended::Answered(Answer {
+        status: parts.status,
+        headers: parts.headers,
+        head,
+        body: body.freeze(),
+    })
 }
 
 /// Whether a backend server that broke a connection accepts another: it has not died.
--- a/components/gateway/src/flow.rs
+++ b/components/gateway/src/flow.rs
@@ -41,7 +41,12 @@
             if answer.status().is_success() {
                 if node.random().is_multiple_of(CALM_SAMPLE) {
                     let (status, took_ms) = (answer.status().as_u16(), took.as_millis() as u64);
-                    telemetry::event!(REQUEST_SERVED, request = id, status = status, took_ms = took_ms);
+                    telemetry::event!(
+                        REQUEST_SERVED,
+                        request = id,
+                        status = status,
+                        took_ms = took_ms
+                    );
                 }
             } else {
                 let (status, took_ms) = (answer.status().as_u16(), took.as_millis() as u64);
@@ -187,13 +192,16 @@
     let mut state = node.state();
     if state.crashes.is_refused(now, fingerprint) {
         let message = "backend servers died while they ran this request; do not send it again";
-        return Err(
-            Refusal::not_run(RefusalKind::CrashSuspect, message).retry_after(CRASH_RETRY)
-        );
+        return Err(Refusal::not_run(RefusalKind::CrashSuspect, message).retry_after(CRASH_RETRY));
     }
     if let Some(organisation) = organisation
         && let QuotaVerdict::Refused(retry) = state.quota.admit(now, organisation)
     {
+        if let Some(first) = route.services.first()
+            && let Some(service) = state.services.get_mut(&first.service)
+        {
+            service.results.count(now, false);
+        }
         let message = format!(
             "organisation {organisation} is above its rate (configuration {})",
             catalogue.version
@@ -203,9 +211,7 @@
     let split = state.splits.entry(route.id.clone()).or_default();
     let chosen = split.next(&route.services);
     let service = route.services[chosen].service.clone();
-    if let Some(allowance) =
-        state.services.entry(service.clone()).or_default().allowance.as_mut()
-    {
+    if let Some(allowance) = state.services.entry(service.clone()).or_default().allowance.as_mut() {
         allowance.first(now);
     }
     Ok(service)
--- a/components/gateway/src/knowledge.rs
+++ b/components/gateway/src/knowledge.rs
@@ -94,12 +94,7 @@
 }
 
 /// Takes the rows of all backend servers as of a store version.
-pub fn learn_backends(
-    node: &Node,
-    rows: BTreeMap<Box<str>, RawRow>,
-    version: u64,
-    source: &str,
-) {
+pub fn learn_backends(node: &Node, rows: BTreeMap<Box<str>, RawRow>, version: u64, source: &str) {
     let entries = usable(&rows);
     {
         let mut knowledge = node.knowledge();
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -23,6 +23,8 @@
 mod tick;
 mod watch;
 
-pub use datagram::{BeatMessage, Datagram, DatagramError, DemandPart, EvidencePart, decode, encode};
+pub use datagram::{
+    BeatMessage, Datagram, DatagramError, DemandPart, EvidencePart, decode, encode,
+};
 pub use options::Options;
 pub use run::run;
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -83,9 +83,7 @@
             .map_err(|_| SendError::Connect(std::io::ErrorKind::TimedOut.into()))?
             .map_err(SendError::Connect)?;
         stream.set_nodelay(true).map_err(SendError::Connect)?;
-        SockRef::from(&stream)
-            .set_tcp_user_timeout(Some(SILENCE))
-            .map_err(SendError::Connect)?;
+        SockRef::from(&stream).set_tcp_user_timeout(Some(SILENCE)).map_err(SendError::Connect)?;
         let (sender, connection) =
             http1::handshake(TokioIo::new(stream)).await.map_err(|_| SendError::Unsent)?;
         tokio::spawn(async move {
--- a/components/gateway/src/slot.rs
+++ b/components/gateway/src/slot.rs
@@ -1,6 +1,8 @@
 use std::sync::Arc;
 
-use dispatch::{BackendKey, BackendState, Choice, Distance, Request, Waiter, WaiterId, place};
+use dispatch::{
+    BackendKey, BackendState, Choice, Coverage, Distance, Request, Waiter, WaiterId, place,
+};
 use kernel::prelude::*;
 use tokio::sync::oneshot;
 
@@ -10,6 +12,9 @@
 /// Shortest wait in the line: sooner, a rejection serves the caller better.
 const SHORTEST_WAIT: Duration = Duration::from_millis(20);
 
+/// Time since a request that can be sent once more in which such requests do the trying.
+const SPARED: Duration = Duration::from_millis(500);
+
 /// A slot of a backend server, freed when it is dropped.
 pub struct Slot {
     node: Arc<Node>,
@@ -49,8 +54,17 @@
 }
 
 fn choose(node: &Node, state: &mut State, now: Uptime, demand: &Demand) -> Choice {
-    let explore =
-        state.services.get_mut(&demand.service).is_some_and(|s| s.results.is_failing(now));
+    let floor = node.boot.load().bounds.floor;
+    let coverage = state.services.get_mut(&demand.service).map_or(
+        Coverage { floor, failing: 0.0, spared: false },
+        |service| {
+            if demand.repeatable {
+                service.repeatable = Some(now);
+            }
+            let spared = service.repeatable.is_some_and(|at| now.saturating_sub(at) < SPARED);
+            Coverage { floor, failing: service.results.failing(now), spared }
+        },
+    );
     let request = Request {
         worth: demand.worth,
         repeatable: demand.repeatable,
@@ -58,7 +72,7 @@
         usual: demand.usual.time,
         left: demand.due.saturating_sub(now).as_secs_f64(),
         tried: &demand.tried,
-        explore,
+        coverage,
     };
     let options = state.placement;
     let candidates = state
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -2,7 +2,7 @@
 
 use dispatch::{
     BackendEntry, BackendKey, Backends, CrashSuspects, Election, Evidence, PlacementOptions, Quota,
-    RetryAllowance, Split, WaiterId, Waiter, WaitingRoom,
+    RetryAllowance, Split, Waiter, WaiterId, WaitingRoom,
 };
 use kernel::prelude::*;
 use tokio::sync::oneshot;
@@ -17,10 +17,6 @@
 const FIRST_SIZE_KB: f64 = 3.0;
 /// Time over which the failing part of a service's requests is taken.
 const FAILING: Duration = Duration::from_secs(2);
-/// Failing part from which every backend server is tried: just below the tenth from which most of
-/// them must get work.
-const FAILING_MOST: f64 = 0.09;
-
 /// Usual time and size of a route's requests.
 #[derive(Clone, Copy, Debug)]
 pub struct Usual {
@@ -71,12 +67,12 @@
         }
     }
 
-    /// Whether so much fails that every backend server must be tried.
-    pub fn is_failing(&mut self, now: Uptime) -> bool {
+    /// Part of the requests that fails.
+    pub fn failing(&mut self, now: Uptime) -> f64 {
         self.turn(now);
         let served = f64::from(self.now.0 + self.before.0);
         let failed = f64::from(self.now.1 + self.before.1);
-        failed > 1.0 && failed / (served + failed) > FAILING_MOST
+        if failed < 2.0 { 0.0 } else { failed / (served + failed) }
     }
 }
 
@@ -118,6 +114,8 @@
     pub allowance: Option<RetryAllowance>,
     /// Results of the last seconds.
     pub results: Results,
+    /// When a request that can be sent once more was placed last.
+    pub repeatable: Option<Uptime>,
 }
 
 /// Evidence that other homes have not been told.
--- a/components/gateway/src/tick.rs
+++ b/components/gateway/src/tick.rs
@@ -13,7 +13,7 @@
 const POLL: Duration = Duration::from_millis(100);
 /// Time between two messages of demand near a rate. A step of demand is known everywhere before
 /// a burst is spent twice.
-const PRESSING: Duration = Duration::from_millis(200);
+const PRESSING: Duration = Duration::from_millis(150);
 /// Time between two messages of evidence.
 const EVIDENCE: Duration = Duration::from_millis(60);
 
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -138,7 +138,14 @@
         let decode = |row: &RawRow| {
             let value = row.value.as_deref()?;
             let entry = decode_backend(&row.key, value).ok()?;
-            Some((entry.born, entry.service, entry.address, entry.domain, entry.slots, entry.draining))
+            Some((
+                entry.born,
+                entry.service,
+                entry.address,
+                entry.domain,
+                entry.slots,
+                entry.draining,
+            ))
         };
         old.and_then(decode) != decode(new)
     }
@@ -235,7 +242,9 @@
                     for row in answer.rows {
                         match row.value {
                             Some(_) => listing.put(row),
-                            None => listing.drop_row(now, &row.key, row.version.max(answer.version)),
+                            None => {
+                                listing.drop_row(now, &row.key, row.version.max(answer.version))
+                            }
                         }
                     }
                 }
