Meet the other VMs before reading the store, charge repeats to the rate

Change: a VM reads the store itself only after it has greeted the others, in its place in line; a page of a table may take 2 s; a repeat takes a token, and refills use no tolerance. Tests: a_vm_that_has_not_met_the_others_does_not_read_the_store_at_once.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -25,6 +25,6 @@
 pub use election::{Claim, Election, PeerBeat, Role};
 pub use health::{Evidence, Health, SpellLength};
 pub use placement::{Choice, Coverage, Distance, PlacementOptions, Request, place};
-pub use quota::{Quota, QuotaVerdict, Tolerance};
+pub use quota::{Quota, QuotaVerdict};
 pub use split::Split;
 pub use waiting::{Rejected, Waiter, WaiterId, WaitingRoom};
--- a/components/dispatch/src/quota.rs
+++ b/components/dispatch/src/quota.rs
@@ -10,7 +10,7 @@
 /// Part of its even part of a burst that a process holds at its start: what others have spent just
 /// before is not known, but while a process starts it admits nothing.
 const START: f64 = 0.8;
-/// Part of the tolerance that VMs use to refuse nothing within a rate while their parts follow the
+/// Part of the slack that VMs use to refuse nothing within a rate while their parts follow the
 /// demand; the rest covers VMs that start, stop or take over.
 const USED: f64 = 0.2;
 /// Demand that each VM is taken to have besides, as a part of the rate: without any, every VM would
@@ -59,19 +59,11 @@
     reports: HashMap<u64, (Uptime, HashMap<u32, f64>)>,
     /// Usual number of VMs that serve at once.
     servers: f64,
-    tolerance: Tolerance,
+    /// Requests in a window that all VMs together may admit beyond a rate and burst.
+    slack: f64,
     configured: bool,
 }
 
-/// How far all VMs together may go beyond a rate.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Tolerance {
-    /// Part of the rate and burst.
-    pub part: f64,
-    /// Requests in a window.
-    pub requests: f64,
-}
-
 /// Short hash of an organisation's name for reports.
 fn short(name: &str) -> u32 {
     // FNV-1a: stable over processes, which the hasher of the standard library does not promise.
@@ -79,16 +71,17 @@
 }
 
 impl Quota {
-    /// Sets the rates and the usual number of VMs that serve at once.
+    /// Sets the rates, the usual number of VMs that serve at once, and how many requests they may
+    /// admit together beyond a rate and burst.
     pub fn configure<'a>(
         &mut self,
         now: Uptime,
         rates: impl Iterator<Item = (&'a OrganisationId, Option<Rate>)>,
         servers: usize,
-        tolerance: Tolerance,
+        slack: f64,
     ) {
         self.servers = servers.max(1) as f64;
-        self.tolerance = tolerance;
+        self.slack = slack;
         // A process that starts cannot know what others have spent just before.
         let first = !std::mem::replace(&mut self.configured, true);
         let mut accounts = HashMap::new();
@@ -138,8 +131,8 @@
         };
         account.demand = demand;
         account.asked = now;
-        let refill = account.rate.per_second * part * (1.0 + USED * self.tolerance.part);
-        let spare = USED * self.tolerance.requests / self.servers;
+        let refill = account.rate.per_second * part;
+        let spare = USED * self.slack / self.servers;
         let burst = (account.rate.burst * part).max(1.0) + spare;
         let earned = now.saturating_sub(account.at).as_secs_f64() * refill;
         account.tokens = (account.tokens + earned).min(burst);
@@ -152,6 +145,13 @@
         QuotaVerdict::Refused(Duration::from_secs_f64(wait.min(30.0)))
     }
 
+    /// Charges a repeat of a request, which runs once more and is not refused.
+    pub fn charge(&mut self, id: &str) {
+        if let Some(account) = self.accounts.get_mut(id) {
+            account.tokens -= 1.0;
+        }
+    }
+
     /// Gives back the token of a request that was not run.
     pub fn refund(&mut self, id: &str) {
         if let Some(account) = self.accounts.get_mut(id) {
--- a/components/dispatch/tests/duty.rs
+++ b/components/dispatch/tests/duty.rs
@@ -9,6 +9,7 @@
         home: false,
         place,
         uptime: Duration::from_secs(60),
+        acquainted: Some(Duration::from_secs(59)),
         informed: true,
         age: Duration::from_millis(900),
         silence: Some(Duration::from_millis(150)),
@@ -41,7 +42,23 @@
 
 #[test]
 fn a_starting_vm_first_listens_to_the_others() {
-    let start = |uptime| Watcher { informed: false, uptime, silence: None, ..standby(1) };
-    assert!(!start(Duration::from_millis(100)).has_duty());
-    assert!(start(Duration::from_millis(200)).has_duty());
+    let start = |place, millis| {
+        let age = Duration::from_millis(millis);
+        let acquainted = Some(age);
+        Watcher { informed: false, uptime: age, acquainted, silence: None, ..standby(place) }
+    };
+    assert!(!start(0, 50).has_duty());
+    assert!(start(0, 100).has_duty());
+    assert!(!start(1, 300).has_duty());
+    assert!(start(1, 400).has_duty());
+}
+
+// 51 VMs of a region that started together read a large configuration at once, filled the link
+// between regions, and repeated the reading after each timeout for 8 s.
+#[test]
+fn a_vm_that_has_not_met_the_others_does_not_read_the_store_at_once() {
+    let uptime = Duration::from_millis(300);
+    let alone = Watcher { informed: false, uptime, acquainted: None, silence: None, ..standby(0) };
+    assert!(!alone.has_duty());
+    assert!(Watcher { uptime: Duration::from_millis(900), ..alone }.has_duty());
 }
--- a/components/dispatch/tests/quota.rs
+++ b/components/dispatch/tests/quota.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
-use dispatch::{Quota, QuotaVerdict, Tolerance};
+use dispatch::{Quota, QuotaVerdict};
 use kernel::{OrganisationId, Rate, Uptime};
 
 const RATE: Rate = Rate { per_second: 54.0, burst: 54.0 };
-const TOLERANCE: Tolerance = Tolerance { part: 0.1, requests: 20.0 };
+/// Requests that the platform allows beyond, and the part of the rate and burst.
+const SLACK: f64 = 20.0;
+const OVERSHOOT: f64 = 0.1;
 /// Usual demand of one of four VMs: a rate is 1.6 times the usual demand of all.
 const USUAL: f64 = 54.0 / 1.6 / 4.0;
 /// Window in which the platform counts.
@@ -17,7 +19,7 @@
     (0..vms)
         .map(|_| {
             let mut quota = Quota::default();
-            quota.configure(Uptime::ZERO, std::iter::once((&id, Some(RATE))), vms, TOLERANCE);
+            quota.configure(Uptime::ZERO, std::iter::once((&id, Some(RATE))), vms, SLACK);
             quota
         })
         .collect()
@@ -82,7 +84,7 @@
 
 fn bound() -> f64 {
     let rate = RATE.per_second * WINDOW.as_secs_f64() + RATE.burst;
-    rate * (1.0 + TOLERANCE.part) + TOLERANCE.requests
+    rate * (1.0 + OVERSHOOT) + SLACK
 }
 
 // Every idle VM owned the whole burst, and an organisation that suddenly sent 7.5 times its usual
--- a/components/gateway/src/knowledge.rs
+++ b/components/gateway/src/knowledge.rs
@@ -61,7 +61,7 @@
     let servers = boot.domains.len();
     let rates = catalogue.organisations.iter().map(|o| (&o.id, o.rate));
     let bounds = &boot.bounds;
-    state.quota.configure(now, rates, servers, bounds.quota);
+    state.quota.configure(now, rates, servers, bounds.rate_slack);
     for name in catalogue.services.keys() {
         let service = state.services.entry(name.clone()).or_default();
         if service.allowance.is_none() {
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -68,6 +68,7 @@
             election: Election::new(Uptime::ZERO, vm, power),
             mates: Default::default(),
             homes: Default::default(),
+            acquainted: None,
             home_heard: None,
             untold: Default::default(),
             placement: PlacementOptions::default(),
@@ -122,8 +123,11 @@
 
     /// A client of the store with its own connection.
     pub fn store(&self) -> StoreClient {
-        let times =
-            StoreTimes { connect: self.options.store_answer, answer: self.options.store_answer };
+        let times = StoreTimes {
+            connect: self.options.store_answer,
+            answer: self.options.store_answer,
+            page: self.options.store_page,
+        };
         StoreClient::new(self.boot.load().store, times)
     }
 
--- a/components/gateway/src/options.rs
+++ b/components/gateway/src/options.rs
@@ -14,6 +14,9 @@
     /// Longest wait for an answer of the store, beside `feed_wait`. It answers in 4 ms and may be
     /// sixty times slower.
     pub store_answer: Duration,
+    /// Longest wait for a page of a table, beside `store_answer`: a configuration of hundreds of
+    /// routes crosses a link between regions that others fill.
+    pub store_page: Duration,
     /// Pause after a failed call to the store.
     pub store_pause: Duration,
     /// Longest pause after repeated failures.
@@ -42,6 +45,7 @@
             connect_remote: Duration::from_millis(450),
             feed_wait: Duration::from_millis(1500),
             store_answer: Duration::from_millis(700),
+            store_page: Duration::from_millis(2000),
             store_pause: Duration::from_millis(250),
             store_pause_most: Duration::from_millis(1000),
             return_grace: Duration::from_millis(2300),
--- a/components/gateway/src/roster.rs
+++ b/components/gateway/src/roster.rs
@@ -68,6 +68,8 @@
                 let found = rows.filter_map(|v| serde_json::from_slice::<RosterRow>(v).ok());
                 let found: Vec<SocketAddr> = found.map(|r| r.peers).collect();
                 greet(node, &found).await;
+                let now = node.now();
+                node.state().acquainted = Some(now);
                 return;
             }
             Err(error) => {
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -183,7 +183,7 @@
     usual: Usual,
 ) -> Option<Slot> {
     let now = node.now();
-    if !take_repeat(node, &job.service) {
+    if !take_repeat(node, job) {
         return None;
     }
     let slot = acquire(node, demand(job, progress, usual), job.priority, now).await.ok()?;
@@ -197,11 +197,15 @@
     job.route.idempotent && progress.sends < job.route.max_attempts
 }
 
-fn take_repeat(node: &Node, service: &str) -> bool {
+fn take_repeat(node: &Node, job: &Job) -> bool {
     let now = node.now();
     let mut state = node.state();
-    let allowance = state.services.get_mut(service).and_then(|s| s.allowance.as_mut());
-    allowance.is_some_and(|allowance| allowance.take(now))
+    let allowance = state.services.get_mut(&job.service).and_then(|s| s.allowance.as_mut());
+    let taken = allowance.is_some_and(|allowance| allowance.take(now));
+    if let Some(organisation) = job.organisation.as_deref().filter(|_| taken) {
+        state.quota.charge(organisation);
+    }
+    taken
 }
 
 /// Whether the request may be sent to another backend server after all attempts have ended.
@@ -216,7 +220,7 @@
     if progress.sends == 0 {
         return true;
     }
-    progress.sends < job.route.max_attempts && take_repeat(node, &job.service)
+    progress.sends < job.route.max_attempts && take_repeat(node, job)
 }
 
 fn finish(progress: &mut Progress) -> Result<Answer, Refusal> {
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -152,6 +152,8 @@
     pub mates: HashMap<Incarnation, BeatMessage>,
     /// Homes of other failure domains.
     pub homes: HashMap<DomainId, OtherHome>,
+    /// When this VM greeted the others of its failure domain.
+    pub acquainted: Option<Uptime>,
     /// When the home of this failure domain was last heard.
     pub home_heard: Option<Uptime>,
     /// Evidence for other homes.
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -27,6 +27,7 @@
         home: home == Some(node.vm),
         place: node.place_in_line(&state, now),
         uptime: now,
+        acquainted: state.acquainted.map(|at| now.saturating_sub(at)),
         informed,
         age,
         silence: state.home_heard.map(|at| now.saturating_sub(at)),
