--- a/components/dispatch/tests/budget.rs
+++ b/components/dispatch/tests/budget.rs
@@ -43,7 +43,8 @@
     }
     for start in (0..20).map(Duration::from_secs) {
         let within = sent.iter().filter(|(at, _)| *at >= start && *at < start + WINDOW);
-        let (repeats, first): (Vec<&(Duration, bool)>, Vec<_>) = within.partition(|(_, repeat)| *repeat);
+        let (repeats, first): (Vec<&(Duration, bool)>, Vec<_>) =
+            within.partition(|(_, repeat)| *repeat);
         let bound = RATIO * first.len() as f64 + SLACK;
         assert!(repeats.len() as f64 <= bound, "{} repeats, {bound} allowed", repeats.len());
     }
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -266,58 +266,51 @@
 }
 
 /// One attempt at the backend server of a slot.
-fn attempt<'a>(
-    node: &'a Arc<Node>,
-    job: &'a Job,
-    slot: Slot,
-    overdue: Duration,
-) -> impl Future<Output = Attempt> + 'a {
-    async move {
-        let key = slot.key;
-        let target = {
-            let state = node.state();
-            state.backends.get(key).map(|b| (b.entry.clone(), node.distance(&b.entry.domain)))
-        };
-        let Some((entry, distance)) = target else {
-            let ended = Ended::Unsent("the backend server has left".into());
-            return Attempt { key, backend: "".into(), ended };
-        };
-        let now = node.now();
-        let left = job.until.saturating_sub(now);
-        let mut outgoing = job.outgoing.clone();
-        outgoing.headers = backend_request_headers(
-            &job.outgoing.headers,
-            job.organisation.as_deref(),
-            &entry.id,
-            left,
-        );
-        let remote = distance == Distance::Remote;
-        let bytes = outgoing.body.len();
-        let mut sent = pin!(exchange(node, key, entry.address, remote, outgoing));
-        let ended = tokio::select! {
-            ended = &mut sent => ended,
-            () = sleep(overdue) => {
-                let now = node.now();
-                node.state().observe(now, key, Evidence::Overdue);
-                telemetry::event!(
-                    ATTEMPT_OVERDUE,
-                    request = job.outgoing.request_id,
-                    backend = entry.id,
-                    after_ms = overdue.as_millis() as u64,
-                );
-                sent.await
-            }
-        };
-        let took = node.now().saturating_sub(now);
-        learn(node, job, key, &entry.id, &ended, took, bytes);
-        if let Ended::Broken(_) = &ended
-            && !is_alive(entry.address, ALIVE_CHECK).await
-        {
-            died(node, job, key, &entry.id).await;
+async fn attempt(node: &Arc<Node>, job: &Job, slot: Slot, overdue: Duration) -> Attempt {
+    let key = slot.key;
+    let target = {
+        let state = node.state();
+        state.backends.get(key).map(|b| (b.entry.clone(), node.distance(&b.entry.domain)))
+    };
+    let Some((entry, distance)) = target else {
+        let ended = Ended::Unsent("the backend server has left".into());
+        return Attempt { key, backend: "".into(), ended };
+    };
+    let now = node.now();
+    let left = job.until.saturating_sub(now);
+    let mut outgoing = job.outgoing.clone();
+    outgoing.headers = backend_request_headers(
+        &job.outgoing.headers,
+        job.organisation.as_deref(),
+        &entry.id,
+        left,
+    );
+    let remote = distance == Distance::Remote;
+    let bytes = outgoing.body.len();
+    let mut sent = pin!(exchange(node, key, entry.address, remote, outgoing));
+    let ended = tokio::select! {
+        ended = &mut sent => ended,
+        () = sleep(overdue) => {
+            let now = node.now();
+            node.state().observe(now, key, Evidence::Overdue);
+            telemetry::event!(
+                ATTEMPT_OVERDUE,
+                request = job.outgoing.request_id,
+                backend = entry.id,
+                after_ms = overdue.as_millis() as u64,
+            );
+            sent.await
         }
-        drop(slot);
-        Attempt { key, backend: entry.id, ended }
+    };
+    let took = node.now().saturating_sub(now);
+    learn(node, job, key, &entry.id, &ended, took, bytes);
+    if let Ended::Broken(_) = &ended
+        && !is_alive(entry.address, ALIVE_CHECK).await
+    {
+        died(node, job, key, &entry.id).await;
     }
+    drop(slot);
+    Attempt { key, backend: entry.id, ended }
 }
 
 /// Notes that a backend server died while it had the request, and tells other homes.
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -83,7 +83,7 @@
             let transport = tarpc::serde_transport::new(framed, Json::default());
             let channel = BaseChannel::with_defaults(transport);
             let calls = channel.execute(server.serve());
-            calls.for_each(|call| async move { call.await }).await;
+            calls.for_each(|call| call).await;
         });
     }
 }
--- a/components/telemetry/src/repeats.rs
+++ b/components/telemetry/src/repeats.rs
@@ -46,8 +46,7 @@
             window.start = now;
             window.logged = 0;
         }
-        let most =
-            if REQUEST_EVENTS.contains(&number) { MAX_REQUEST_RECORDS } else { MAX_RECORDS };
+        let most = if REQUEST_EVENTS.contains(&number) { MAX_REQUEST_RECORDS } else { MAX_RECORDS };
         if window.logged >= most {
             window.dropped += 1;
             return Repeat::Drop;
