Test the gateway as processes against a store and backend servers of the platform's kind

Change: stand-ins of the store and of a backend server, and eleven tests of processes: keys, at most once, truthful refusals, withdrawn keys, leaving backend servers, a killed home without the store, starts without the store, SIGTERM, logs by request id. A VM is ready, and stands for election, only once it knows the backend servers; without a known home any VM may repeat. Found by them: a VM called itself ready before it knew a backend server; a first request at a VM that was no home yet was not repeated.

--- a/components/gateway/src/entry.rs
+++ b/components/gateway/src/entry.rs
@@ -29,7 +29,7 @@
         }
         _ => {}
     }
-    let able = node.catalogue.load().is_some() && !node.is_stopping();
+    let able = node.is_informed() && !node.is_stopping();
     boot.listen.callers.filter(|_| able).into_iter().collect()
 }
 
@@ -57,8 +57,8 @@
     if node.is_stopping() {
         return plain(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "stopping\n");
     }
-    if node.catalogue.load().is_none() {
-        return plain(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "no configuration yet\n");
+    if !node.is_informed() {
+        return plain(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "not informed yet\n");
     }
     plain(StatusCode::OK, "text/plain", "ready\n")
 }
--- a/components/gateway/src/flow.rs
+++ b/components/gateway/src/flow.rs
@@ -136,7 +136,7 @@
     head: Result<CallerHead, CallerHeadFault>,
     started: Uptime,
 ) -> Result<CallerAnswer, Refusal> {
-    if !is_informed(node) {
+    if !node.is_informed() {
         wait_for_knowledge(node, &head).await;
     }
     let Some(catalogue) = node.catalogue.load_full() else {
@@ -186,16 +186,12 @@
     serve(node, job).await
 }
 
-fn is_informed(node: &Node) -> bool {
-    node.catalogue.load().is_some() && node.knowledge().backends > 0
-}
-
 /// Waits for the first configuration and list of backend servers: a VM that starts has them soon,
 /// and a caller that is refused meanwhile would come to another VM that starts too.
 async fn wait_for_knowledge(node: &Node, head: &Result<CallerHead, CallerHeadFault>) {
     let deadline = head.as_ref().ok().and_then(|head| head.deadline).unwrap_or(DEFAULT_DEADLINE);
     let until = Instant::now() + START_WAIT.min(deadline / 6);
-    while !is_informed(node) {
+    while !node.is_informed() {
         let woken = node.configured.notified();
         if tokio::time::timeout_at(until, woken).await.is_err() {
             return;
--- a/components/gateway/src/knowledge.rs
+++ b/components/gateway/src/knowledge.rs
@@ -74,10 +74,9 @@
     state.usual.retain(|id, _| routes.contains_key(&**id));
     // Weights may have changed with the version.
     state.splits.clear();
-    let able = !node.is_stopping();
-    state.election.set_able(able);
     drop(state);
     node.catalogue.store(Some(Arc::new(catalogue)));
+    update_able(node);
     node.configured.notify_waiters();
     telemetry::event!(CONFIG_LEARNED, version = version, source = source);
     node.beat.notify_one();
@@ -131,10 +130,17 @@
         pump(node, &mut state, now, &service);
     }
     drop(state);
+    update_able(node);
     node.configured.notify_waiters();
     node.beat.notify_one();
 }
 
+/// Stands for election once it can serve.
+fn update_able(node: &Node) {
+    let able = node.is_informed() && !node.is_stopping();
+    node.state().election.set_able(able);
+}
+
 /// Notes that the store has confirmed what is known, `age` ago.
 pub fn confirm(node: &Node, age: Duration, configuration: bool, backends: bool) {
     let at = node.now().saturating_sub(age);
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -143,6 +143,11 @@
         }
     }
 
+    /// Whether it has a configuration and a list of backend servers.
+    pub fn is_informed(&self) -> bool {
+        self.catalogue.load().is_some() && self.knowledge().backends > 0
+    }
+
     /// Whether the process was asked to stop.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -200,7 +200,8 @@
 fn take_repeat(node: &Node, job: &Job) -> bool {
     let now = node.now();
     let mut state = node.state();
-    let serves = state.election.home() == Some(node.vm);
+    // Without a known home, callers come to any VM.
+    let serves = state.election.home().is_none_or(|home| home == node.vm);
     let allowance = state.services.get_mut(&job.service).and_then(|s| s.allowance.as_mut());
     let taken = allowance.is_some_and(|allowance| allowance.take(now, serves));
     if let Some(organisation) = job.organisation.as_deref().filter(|_| taken) {
--- /dev/null
+++ b/tests/gateway/fleet.rs
@@ -0,0 +1,209 @@
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use bytes::Bytes;
+use harness::{Caller, Process, Reply};
+use http::Method;
+use serde_json::{Value, json};
+use standins::store::Store;
+use standins::target::Target;
+use tokio::net::TcpListener;
+
+/// Host of every route.
+pub const HOST: &str = "news.example";
+/// Key of the organisation `north`.
+pub const KEY: &str = "key-north";
+
+const CALLERS: u16 = 18_782;
+const READY: u16 = 18_789;
+const ENTRY: u16 = 18_780;
+const PEERS: u16 = 17_340;
+
+/// Numbers the fleets of this process, so that their addresses differ.
+static FLEETS: AtomicU8 = AtomicU8::new(1);
+
+/// Gateways as processes on loopback addresses of their own, with a store and backend servers.
+pub struct Fleet {
+    pub store: Store,
+    pub vms: Vec<Process>,
+    folder: PathBuf,
+    net: [u8; 2],
+    version: u64,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        // Left behind if it fails; the folder is in the temporary directory.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Fleet {
+    /// A store without VMs.
+    pub async fn new() -> anyhow::Result<Fleet> {
+        let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let pid = std::process::id();
+        // Two runs at once differ in the process, two fleets of a run in the number.
+        let net = [(pid % 200 + 20) as u8, (pid / 200 % 10 * 25) as u8 + number % 25];
+        let folder = std::env::temp_dir().join(format!("papayareel-gateway-{pid}-{number}"));
+        std::fs::create_dir_all(&folder).context("cannot make a folder for the test")?;
+        let listener = TcpListener::bind((ip(net, 1), 0)).await?;
+        let store = Store::serve(listener)?;
+        Ok(Fleet { store, vms: Vec::new(), folder, net, version: 1 })
+    }
+
+    /// Address of a VM for callers.
+    pub fn callers(&self, vm: u8) -> SocketAddr {
+        SocketAddr::new(ip(self.net, 10 + vm), CALLERS)
+    }
+
+    fn settings(&self, vm: u8, domain: &str) -> Value {
+        let ip = ip(self.net, 10 + vm);
+        let region = if domain.starts_with('a') { "north" } else { "south" };
+        json!({
+            "node": format!("vm-{vm}"), "role": "gateway", "ip": ip, "zone": domain,
+            "region": region,
+            "zones": {"a1": "north", "a2": "north", "b1": "south", "b2": "south"},
+            "listen": {
+                "frontend": format!("{ip}:{CALLERS}"), "readiness": format!("{ip}:{READY}"),
+                "directory": format!("{ip}:{ENTRY}"),
+            },
+            "internal_port_range": [PEERS, PEERS + 15],
+            "seeds": [format!("{}:1", self::ip(self.net, 10))],
+            "limits": {"cpu_share": 0.2, "cores": 1},
+            "heartbeat_interval_ms": 1500,
+            "bounds": {
+                "grace_period_s": 6, "ttl_max_s": 5, "retry_budget_ratio": 0.2,
+                "retry_budget_slack": 60, "budget_window_s": 10, "floor_share": 0.7,
+                "quota_slack": 20,
+            },
+            "platform": {"address": self.store.address(), "writes_per_s": 400, "reads_per_s": 2000},
+        })
+    }
+
+    /// Starts a VM; `vm` numbers its address.
+    pub fn start(&mut self, vm: u8, domain: &str) -> anyhow::Result<usize> {
+        let path = self.folder.join(format!("vm-{vm}.json"));
+        std::fs::write(&path, self.settings(vm, domain).to_string())?;
+        let program = env!("CARGO_BIN_EXE_papayareel-gateway").into();
+        let log = self.folder.join(format!("vm-{vm}.log"));
+        let process = Process::start("gateway", &[program], &[path.into()], &log)?;
+        self.vms.push(process);
+        Ok(self.vms.len() - 1)
+    }
+
+    /// Log of a VM.
+    pub fn log(&self, vm: u8) -> String {
+        std::fs::read_to_string(self.folder.join(format!("vm-{vm}.log"))).unwrap_or_default()
+    }
+
+    /// Starts a backend server and enters it into the store.
+    pub async fn target(&self, number: u8, domain: &str, work: Duration) -> anyhow::Result<Target> {
+        let listener = TcpListener::bind((ip(self.net, 100 + number), 0)).await?;
+        let target = Target::serve(listener, &format!("i-{number}"), work)?;
+        self.list(number, domain, &target, "ready");
+        Ok(target)
+    }
+
+    /// Writes the entry of a backend server.
+    pub fn list(&self, number: u8, domain: &str, target: &Target, state: &str) {
+        let entry = json!({
+            "service": "scripts", "address": target.address(), "zone": domain, "version": "v1",
+            "slots": 4, "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": 5,
+        });
+        self.store.put("servers", &format!("i-{number}"), &entry);
+    }
+
+    /// Writes a configuration with these keys of the organisation `north`; returns its version.
+    pub fn configure(&mut self, keys: &[&str]) -> u64 {
+        self.version += 3;
+        let route = |name: &str, prefix: &str, kind: &str| {
+            json!({"resource_type": "routes", "metadata": {"name": name}, "spec": {
+                "host": HOST, "prefix": prefix, "kind": kind, "timeout_ms": 3000,
+                "latency_objective_ms": 1500, "priority": 1, "service": "scripts",
+                "max_attempts": 2, "public": false}})
+        };
+        let configuration = json!({"version": format!("r{}", self.version), "resources": [
+            route("read", "/read/", "safe"),
+            route("write", "/write/", "unsafe"),
+            {"resource_type": "services", "metadata": {"name": "scripts"}, "spec": {
+                "health_check_path": "/health", "max_connections": 100}},
+            {"resource_type": "tenants", "metadata": {"name": "north"}, "spec": {
+                "api_keys": keys, "rate_per_s": 500, "burst": 500}},
+            {"resource_type": "limits", "metadata": {}, "spec": {
+                "max_header_bytes": 16384, "max_body_bytes": 1000, "header_timeout_ms": 3000,
+                "idle_timeout_ms": 15000}},
+        ]});
+        self.store.put("op", "config", &configuration);
+        self.version
+    }
+
+    /// Asks a VM for addresses as a caller of a failure domain; none if it gives none.
+    pub async fn resolve(&self, vm: u8, domain: &str) -> Option<SocketAddr> {
+        let address = SocketAddr::new(ip(self.net, 10 + vm), ENTRY);
+        let path = format!("/-/resolve?name={HOST}&region=north&zone={domain}");
+        let reply = get(address, &path).await.ok()?;
+        reply.json()["addresses"][0].as_str()?.parse().ok()
+    }
+
+    /// Status of the readiness of a VM; none if it does not answer.
+    pub async fn readiness(&self, vm: u8) -> Option<u16> {
+        let address = SocketAddr::new(ip(self.net, 10 + vm), READY);
+        get(address, "/-/ready").await.ok().map(|reply| reply.status.as_u16())
+    }
+
+    /// Waits until a VM is ready and a home is known.
+    pub async fn wait_ready(&self, vm: u8, domain: &str) -> anyhow::Result<SocketAddr> {
+        let start = Instant::now();
+        loop {
+            if self.readiness(vm).await == Some(200)
+                && let Some(address) = self.resolve(vm, domain).await
+            {
+                return Ok(address);
+            }
+            anyhow::ensure!(start.elapsed() < Duration::from_secs(20), "vm-{vm} is never ready");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+fn ip(net: [u8; 2], host: u8) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, net[0], net[1], host))
+}
+
+async fn get(address: SocketAddr, path: &str) -> anyhow::Result<Reply> {
+    Caller::new(address).send(&Method::GET, path, &[], Bytes::new()).await
+}
+
+/// Sends a request with a key and the id `id`.
+pub async fn request(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    id: &str,
+    key: &str,
+) -> anyhow::Result<Reply> {
+    let key = format!("Bearer {key}");
+    let headers =
+        [("host", HOST), ("request-id", id), ("deadline-ms", "4000"), ("authorization", &*key)];
+    let body = if method == Method::GET { Bytes::new() } else { Bytes::from_static(b"text") };
+    Caller::new(address).send(&method, path, &headers, body).await
+}
+
+/// Waits for a condition within a bound that the platform sets.
+pub async fn within<F>(bound: Duration, mut check: impl FnMut() -> F) -> bool
+where
+    F: Future<Output = bool>,
+{
+    let start = Instant::now();
+    while start.elapsed() < bound {
+        if check().await {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+    false
+}
--- /dev/null
+++ b/tests/gateway/main.rs
@@ -0,0 +1,264 @@
+//! Gateways as processes between callers, a store and backend servers of the platform's kind.
+
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::{Fleet, KEY, request, within};
+use http::Method;
+use standins::store::Mood;
+use standins::target::Manner;
+
+/// Time in which a change of the configuration must be in force.
+const IN_FORCE: Duration = Duration::from_millis(2500);
+/// Time that a backend server takes for a request.
+const WORK: Duration = Duration::from_millis(30);
+
+#[tokio::test]
+async fn a_request_reaches_a_backend_server_and_no_key_does() -> anyhow::Result<()> {
+    let mut fleet = Fleet::new().await?;
+    fleet.configure(&[KEY]);
+    let target = fleet.target(1, "a1", WORK).await?;
+    fleet.start(0, "a1")?;
+    let home = fleet.wait_ready(0, "a1").await?;
+    let reply = request(home, Method::GET, "/read/x?y=1", "id-1", KEY).await?;
+    assert_eq!((reply.status.as_u16(), &*reply.body), (200, &b"/read/x?y=1"[..]));
+    assert_eq!(reply.header("response-signature"), "i-1.0");
+    let headers = target.seen().headers;
+    assert_eq!(headers["tenant"], "north");
+    assert_eq!(headers["expected-instance"], "i-1");
+    assert!(!headers.contains_key("authorization"));
+    let left: u64 = headers["deadline-ms"].parse()?;
+    assert!((2000..=3000).contains(&left), "the route allows 3 s, {left} ms were passed on");
+    let status = |reply: harness::Reply| reply.status.as_u16();
+    assert_eq!(status(request(home, Method::GET, "/none/", "id-2", KEY).await?), 404);
+    assert_eq!(status(request(home, Method::GET, "/read/", "id-3", "wrong").await?), 401);
+    assert_eq!(target.runs(), 1);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_vm_without_configuration_refuses_with_503_only() -> anyhow::Result<()> {
+    let mut fleet = Fleet::new().await?;
+    fleet.store.set_mood(Mood::Busy);
+    fleet.start(0, "a1")?;
+    let address = fleet.callers(0);
+    let up = || async { request(address, Method::GET, "/read/", "id-1", KEY).await.is_ok() };
+    assert!(within(Duration::from_secs(10), up).await);
+    for path in ["/read/", "/none/"] {
+        let reply = request(address, Method::GET, path, "id-2", "wrong").await?;
+        assert_eq!(reply.status.as_u16(), 503, "{path}");
+    }
+    assert_eq!(fleet.readiness(0).await, Some(503));
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_request_that_may_not_repeat_runs_once_whatever_fails() -> anyhow::Result<()> {
+    let mut fleet = Fleet::new().await?;
+    fleet.configure(&[KEY]);
+    let targets = [fleet.target(1, "a1", WORK).await?, fleet.target(2, "a1", WORK).await?];
+    fleet.start(0, "a1")?;
+    let home = fleet.wait_ready(0, "a1").await?;
+    for (manner, statuses) in [
+        (Manner::Losing, [502].as_slice()),
+        (Manner::Crossed, &[502]),
+        (Manner::Unsigned, &[502]),
+        (Manner::Gray, &[500]),
+        (Manner::Hanging, &[504]),
+    ] {
+        targets.iter().for_each(|target| target.set_manner(manner));
+        let before: u32 = targets.iter().map(|target| target.runs()).sum();
+        let id = format!("{manner:?}");
+        let reply = request(home, Method::POST, "/write/", &id, KEY).await?;
+        assert!(statuses.contains(&reply.status.as_u16()), "{manner:?} gave {}", reply.status);
+        let after: u32 = targets.iter().map(|target| target.runs()).sum();
+        assert_eq!(after - before, 1, "{manner:?}");
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_refusal_that_says_not_run_is_true() -> anyhow::Result<()> {
+    let mut fleet = Fleet::new().await?;
+    fleet.configure(&[KEY]);
+    let targets = [fleet.target(1, "a1", WORK).await?, fleet.target(2, "a1", WORK).await?];
+    targets.iter().for_each(|target| target.set_manner(Manner::Shedding));
+    fleet.start(0, "a1")?;
+    let home = fleet.wait_ready(0, "a1").await?;
+    for number in 0..10 {
+        let id = format!("id-{number}");
+        let reply = request(home, Method::POST, "/write/", &id, KEY).await?;
+        assert_eq!(reply.status.as_u16(), 503);
+        assert!(!reply.header("retry-after").is_empty());
+    }
+    assert_eq!(targets.iter().map(|target| target.runs()).sum::<u32>(), 0);
+    Ok(())
+}
+
+#[tokio::test]
+async fn requests_that_may_repeat_survive_gray_backend_servers() -> anyhow::Result<()> {
+    let mut fleet = Fleet::new().await?;
+    fleet.configure(&[KEY]);
+    let gray = fleet.target(1, "a1", WORK).await?;
+    let _sound = fleet.target(2, "a1", WORK).await?;
+    fleet.start(0, "a1")?;
+    let home = fleet.wait_ready(0, "a1").await?;
+    for (round, manner) in [Manner::Gray, Manner::Losing, Manner::Crossed].into_iter().enumerate() {
+        gray.set_manner(manner);
+        for number in 0..10 {
+            let id = format!("id-{round}-{number}");
+            let reply = request(home, Method::GET, "/read/", &id, KEY).await?;
+            assert_eq!(reply.status.as_u16(), 200, "{manner:?}");
+        }
+    }
+    // One failure is enough to avoid it; most requests went elsewhere at once.
+    assert!(gray.runs() < 15, "{} of 30 went to the gray one", gray.runs());
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_withdrawn_key_stops_working_on_every_vm() -> anyhow::Result<()> {
+    let mut fleet = Fleet::new().await?;
+    fleet.configure(&[KEY]);
+    let _target = fleet.target(1, "a1", WORK).await?;
+    for vm in 0..3 {
+        fleet.start(vm, "a1")?;
+    }
+    for vm in 0..3 {
+        fleet.wait_ready(vm, "a1").await?;
+    }
+    fleet.store.compact();
+    fleet.configure(&["another"]);
+    for vm in 0..3 {
+        let address = fleet.callers(vm);
+        let refused = || async {
+            let reply = request(address, Method::GET, "/read/", "id-1", KEY).await;
+            reply.is_ok_and(|reply| reply.status.as_u16() == 401)
+        };
+        assert!(within(IN_FORCE, refused).await, "vm-{vm} still takes the key");
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_leaving_backend_server_gets_nothing_new() -> anyhow::Result<()> {
+    let mut fleet = Fleet::new().await?;
+    fleet.configure(&[KEY]);
+    let leaving = fleet.target(1, "a1", WORK).await?;
+    let gone = fleet.target(2, "a1", WORK).await?;
+    let _stays = fleet.target(3, "a1", WORK).await?;
+    fleet.start(0, "a1")?;
+    fleet.start(1, "a1")?;
+    fleet.wait_ready(1, "a1").await?;
+    let home = fleet.wait_ready(0, "a1").await?;
+    fleet.list(1, "a1", &leaving, "draining");
+    fleet.store.drop_row("servers", "i-2");
+    tokio::time::sleep(IN_FORCE).await;
+    let before = leaving.runs() + gone.runs();
+    for number in 0..30 {
+        let address = if number % 2 == 0 { home } else { fleet.callers(1) };
+        let id = format!("id-{number}");
+        let reply = request(address, Method::GET, "/read/", &id, KEY).await?;
+        assert_eq!(reply.status.as_u16(), 200);
+    }
+    assert_eq!(leaving.runs() + gone.runs(), before);
+    Ok(())
+}
+
+#[tokio::test]
+async fn another_vm_takes_over_from_a_home_that_is_killed() -> anyhow::Result<()> {
+    let mut fleet = Fleet::new().await?;
+    fleet.configure(&[KEY]);
+    let _target = fleet.target(1, "a1", WORK).await?;
+    for vm in 0..3 {
+        fleet.start(vm, "a1")?;
+    }
+    for vm in 0..3 {
+        fleet.wait_ready(vm, "a1").await?;
+    }
+    let home = fleet.wait_ready(0, "a1").await?;
+    let index = (0..3).find(|vm| fleet.callers(*vm) == home).unwrap_or(0);
+    fleet.store.set_mood(Mood::Silent);
+    fleet.vms[usize::from(index)].kill()?;
+    let asked = (index + 1) % 3;
+    let moved = || async {
+        match fleet.resolve(asked, "a1").await {
+            Some(address) if address != home => {
+                let reply = request(address, Method::GET, "/read/", "id-1", KEY).await;
+                reply.is_ok_and(|reply| reply.status.as_u16() == 200)
+            }
+            _ => false,
+        }
+    };
+    assert!(within(Duration::from_secs(4), moved).await, "no VM took over without the store");
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_vm_that_starts_without_the_store_learns_from_the_others() -> anyhow::Result<()> {
+    let mut fleet = Fleet::new().await?;
+    fleet.configure(&[KEY]);
+    let _target = fleet.target(1, "a1", WORK).await?;
+    fleet.start(0, "a1")?;
+    fleet.wait_ready(0, "a1").await?;
+    fleet.store.set_mood(Mood::Silent);
+    fleet.start(1, "a1")?;
+    fleet.wait_ready(1, "a1").await?;
+    let reply = request(fleet.callers(1), Method::GET, "/read/", "id-1", KEY).await?;
+    assert_eq!(reply.status.as_u16(), 200);
+    Ok(())
+}
+
+#[tokio::test]
+async fn sigterm_cuts_no_request_and_moves_the_callers() -> anyhow::Result<()> {
+    let mut fleet = Fleet::new().await?;
+    fleet.configure(&[KEY]);
+    let target = fleet.target(1, "a1", Duration::from_millis(900)).await?;
+    fleet.start(0, "a1")?;
+    fleet.start(1, "a1")?;
+    fleet.wait_ready(1, "a1").await?;
+    let home = fleet.wait_ready(0, "a1").await?;
+    let index = usize::from(home != fleet.callers(0));
+    let running = tokio::spawn(request(home, Method::POST, "/write/", "id-1", KEY));
+    let begun = || async { target.runs() > 0 };
+    assert!(within(Duration::from_secs(2), begun).await);
+    fleet.vms[index].signal("TERM")?;
+    assert_eq!(running.await??.status.as_u16(), 200);
+    let other = 1 - index as u8;
+    let moved = || async { fleet.resolve(other, "a1").await == Some(fleet.callers(other)) };
+    assert!(within(Duration::from_secs(2), moved).await);
+    assert_eq!(fleet.readiness(index as u8).await, Some(503));
+    // Callers that keep the old address are still served.
+    let reply = request(home, Method::GET, "/read/", "id-2", KEY).await?;
+    assert_eq!(reply.status.as_u16(), 200);
+    assert!(fleet.vms[index].wait(Duration::from_secs(6)).await?, "it ended with an error");
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_failed_request_is_found_in_the_log_by_its_id() -> anyhow::Result<()> {
+    let mut fleet = Fleet::new().await?;
+    fleet.configure(&[KEY]);
+    let target = fleet.target(1, "a1", WORK).await?;
+    fleet.start(0, "a1")?;
+    let home = fleet.wait_ready(0, "a1").await?;
+    target.set_manner(Manner::Gray);
+    request(home, Method::POST, "/write/", "failed-id", KEY).await?;
+    request(home, Method::GET, "/read/", "refused-id", "wrong").await?;
+    let written = || async {
+        let log = fleet.log(0);
+        let names = |id: &str| -> Vec<String> {
+            let lines = log.lines().filter(|line| line.contains(id));
+            let json = lines.filter_map(|line| serde_json::from_str(line).ok());
+            json.map(|v: serde_json::Value| v["name"].as_str().unwrap_or_default().into()).collect()
+        };
+        let failed = names("failed-id");
+        failed.iter().any(|n| n == "attempt-failed")
+            && failed.iter().any(|n| n == "request-failed")
+            && names("refused-id").iter().any(|n| n == "request-refused")
+    };
+    assert!(within(Duration::from_secs(3), written).await, "{}", fleet.log(0));
+    assert!(!fleet.log(0).contains(KEY), "a key is in the log");
+    Ok(())
+}
--- a/tools/harness/src/caller.rs
+++ b/tools/harness/src/caller.rs
@@ -73,8 +73,10 @@
         headers: &[(&str, &str)],
         body: impl Into<Bytes>,
     ) -> anyhow::Result<Reply> {
-        let mut request =
-            Request::builder().method(method).uri(target).header("host", self.address.to_string());
+        let mut request = Request::builder().method(method).uri(target);
+        if !headers.iter().any(|(name, _)| *name == "host") {
+            request = request.header("host", self.address.to_string());
+        }
         for (name, value) in headers {
             request = request.header(*name, *value);
         }
--- a/tools/standins/src/lib.rs
+++ b/tools/standins/src/lib.rs
@@ -9,6 +9,10 @@
 pub mod platform;
 mod reply;
 mod server;
+/// Stand-in for the platform's store as the gateway meets it.
+pub mod store;
 mod switch;
+/// Stand-in for a backend server as the gateway meets it.
+pub mod target;
 
 pub use server::Server;
--- /dev/null
+++ b/tools/standins/src/target.rs
@@ -0,0 +1,176 @@
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+use crate::door::lock;
+
+/// How a backend server treats requests.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Manner {
+    /// Answers them.
+    #[default]
+    Sound,
+    /// Answers 500 at once.
+    Gray,
+    /// Refuses them unrun although it has room.
+    Shedding,
+    /// Never answers.
+    Hanging,
+    /// Runs them and breaks the connection in place of an answer.
+    Losing,
+    /// Answers with the id of another request.
+    Crossed,
+    /// Answers with success and without its signature.
+    Unsigned,
+}
+
+/// What a backend server saw.
+#[derive(Clone, Debug, Default)]
+pub struct SeenRequests {
+    /// Runs by request id.
+    pub runs: BTreeMap<String, u32>,
+    /// Headers of the last request.
+    pub headers: BTreeMap<String, String>,
+}
+
+#[derive(Default)]
+struct Inner {
+    manner: Manner,
+    work: Duration,
+    seen: SeenRequests,
+}
+
+/// A running backend server. It stops when this handle is dropped.
+pub struct Target {
+    address: SocketAddr,
+    inner: Arc<Mutex<Inner>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Target {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Target {
+    /// Serves the backend server `id` on the listener; each request takes `work`.
+    pub fn serve(listener: TcpListener, id: &str, work: Duration) -> io::Result<Target> {
+        let address = listener.local_addr()?;
+        let inner = Arc::new(Mutex::new(Inner { work, ..Inner::default() }));
+        let (shared, id): (_, Arc<str>) = (Arc::clone(&inner), id.into());
+        let task = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (shared, id) = (Arc::clone(&shared), Arc::clone(&id));
+                let service = service_fn(move |request| {
+                    let (shared, id) = (Arc::clone(&shared), Arc::clone(&id));
+                    async move { answer(&shared, &id, request).await }
+                });
+                tokio::spawn(async move {
+                    // A connection that a manner breaks ends with an error.
+                    let _ =
+                        http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                });
+            }
+        });
+        Ok(Target { address, inner, task })
+    }
+
+    /// Address that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets how it treats requests from now on.
+    pub fn set_manner(&self, manner: Manner) {
+        lock(&self.inner).manner = manner;
+    }
+
+    /// What it saw so far.
+    pub fn seen(&self) -> SeenRequests {
+        lock(&self.inner).seen.clone()
+    }
+
+    /// Requests that it ran.
+    pub fn runs(&self) -> u32 {
+        lock(&self.inner).seen.runs.values().sum()
+    }
+}
+
+type Answer = Response<Full<Bytes>>;
+
+fn reply(status: StatusCode, headers: &[(&'static str, &str)], body: &str) -> Answer {
+    let mut response = Response::new(Full::new(Bytes::from(body.to_owned())));
+    *response.status_mut() = status;
+    for (name, value) in headers {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            response.headers_mut().insert(*name, value);
+        }
+    }
+    response
+}
+
+fn note(inner: &Mutex<Inner>, request: &Request<Incoming>) {
+    let text = |v: &HeaderValue| String::from_utf8_lossy(v.as_bytes()).into_owned();
+    let headers = request.headers().iter().map(|(n, v)| (n.as_str().to_owned(), text(v)));
+    lock(inner).seen.headers = headers.collect();
+}
+
+async fn answer(
+    inner: &Mutex<Inner>,
+    id: &str,
+    request: Request<Incoming>,
+) -> Result<Answer, io::Error> {
+    note(inner, &request);
+    let header = |name: &str| {
+        let value = request.headers().get(name).and_then(|v| v.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let (request_id, expected) = (header("request-id"), header("expected-instance"));
+    if !expected.is_empty() && expected != id {
+        let headers = [("instance-id", id)];
+        return Ok(reply(StatusCode::MISDIRECTED_REQUEST, &headers, ""));
+    }
+    let (manner, work) = {
+        let inner = lock(inner);
+        (inner.manner, inner.work)
+    };
+    let echo = ("request-id", request_id.as_str());
+    if manner == Manner::Shedding {
+        let headers = [echo, ("not-executed", "1"), ("server-load", "0,0,4")];
+        return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, &headers, ""));
+    }
+    // The body is read whole before the request runs.
+    let path = request.uri().to_string();
+    let body = request.into_body().collect().await.map(|b| b.to_bytes()).unwrap_or_default();
+    *lock(inner).seen.runs.entry(request_id.clone()).or_default() += 1;
+    let signature = format!("{id}.{}", body.len());
+    let signed = ("response-signature", signature.as_str());
+    match manner {
+        Manner::Gray => Ok(reply(StatusCode::INTERNAL_SERVER_ERROR, &[echo, signed], "gray")),
+        Manner::Losing => Err(io::Error::from(io::ErrorKind::ConnectionReset)),
+        Manner::Hanging => std::future::pending().await,
+        Manner::Crossed => {
+            let crossed = ("request-id", "another");
+            Ok(reply(StatusCode::OK, &[crossed, signed], "crossed"))
+        }
+        Manner::Unsigned => Ok(reply(StatusCode::OK, &[echo], "unsigned")),
+        Manner::Sound | Manner::Shedding => {
+            tokio::time::sleep(work).await;
+            let load = ("server-load", "1,0,4");
+            Ok(reply(StatusCode::OK, &[echo, signed, load], &path))
+        }
+    }
+}
