--- a/tests/gateway/main.rs
+++ b/tests/gateway.rs
@@ -1,10 +1,8 @@
 //! Gateways as processes between callers, a store and backend servers of the platform's kind.
 
-mod fleet;
-
 use std::time::Duration;
 
-use fleet::{Fleet, KEY, request, within};
+use harness::{GATEWAY_KEY as KEY, GatewayFleet, gateway_request as request, within};
 use http::Method;
 use standins::store::Mood;
 use standins::target::Manner;
@@ -14,9 +12,13 @@
 /// Time that a backend server takes for a request.
 const WORK: Duration = Duration::from_millis(30);
 
+async fn fleet() -> anyhow::Result<GatewayFleet> {
+    GatewayFleet::new(env!("CARGO_BIN_EXE_papayareel-gateway")).await
+}
+
 #[tokio::test]
 async fn a_request_reaches_a_backend_server_and_no_key_does() -> anyhow::Result<()> {
-    let mut fleet = Fleet::new().await?;
+    let mut fleet = fleet().await?;
     fleet.configure(&[KEY]);
     let target = fleet.target(1, "a1", WORK).await?;
     fleet.start(0, "a1")?;
@@ -39,7 +41,7 @@
 
 #[tokio::test]
 async fn a_vm_without_configuration_refuses_with_503_only() -> anyhow::Result<()> {
-    let mut fleet = Fleet::new().await?;
+    let mut fleet = fleet().await?;
     fleet.store.set_mood(Mood::Busy);
     fleet.start(0, "a1")?;
     let address = fleet.callers(0);
@@ -55,7 +57,7 @@
 
 #[tokio::test]
 async fn a_request_that_may_not_repeat_runs_once_whatever_fails() -> anyhow::Result<()> {
-    let mut fleet = Fleet::new().await?;
+    let mut fleet = fleet().await?;
     fleet.configure(&[KEY]);
     let targets = [fleet.target(1, "a1", WORK).await?, fleet.target(2, "a1", WORK).await?];
     fleet.start(0, "a1")?;
@@ -80,7 +82,7 @@
 
 #[tokio::test]
 async fn a_refusal_that_says_not_run_is_true() -> anyhow::Result<()> {
-    let mut fleet = Fleet::new().await?;
+    let mut fleet = fleet().await?;
     fleet.configure(&[KEY]);
     let targets = [fleet.target(1, "a1", WORK).await?, fleet.target(2, "a1", WORK).await?];
     targets.iter().for_each(|target| target.set_manner(Manner::Shedding));
@@ -98,7 +100,7 @@
 
 #[tokio::test]
 async fn requests_that_may_repeat_survive_gray_backend_servers() -> anyhow::Result<()> {
-    let mut fleet = Fleet::new().await?;
+    let mut fleet = fleet().await?;
     fleet.configure(&[KEY]);
     let gray = fleet.target(1, "a1", WORK).await?;
     let _sound = fleet.target(2, "a1", WORK).await?;
@@ -119,7 +121,7 @@
 
 #[tokio::test]
 async fn a_withdrawn_key_stops_working_on_every_vm() -> anyhow::Result<()> {
-    let mut fleet = Fleet::new().await?;
+    let mut fleet = fleet().await?;
     fleet.configure(&[KEY]);
     let _target = fleet.target(1, "a1", WORK).await?;
     for vm in 0..3 {
@@ -143,7 +145,7 @@
 
 #[tokio::test]
 async fn a_leaving_backend_server_gets_nothing_new() -> anyhow::Result<()> {
-    let mut fleet = Fleet::new().await?;
+    let mut fleet = fleet().await?;
     fleet.configure(&[KEY]);
     let leaving = fleet.target(1, "a1", WORK).await?;
     let gone = fleet.target(2, "a1", WORK).await?;
@@ -152,7 +154,7 @@
     fleet.start(1, "a1")?;
     fleet.wait_ready(1, "a1").await?;
     let home = fleet.wait_ready(0, "a1").await?;
-    fleet.list(1, "a1", &leaving, "draining");
+    fleet.list(1, "a1", leaving.address(), "draining");
     fleet.store.drop_row("servers", "i-2");
     tokio::time::sleep(IN_FORCE).await;
     let before = leaving.runs() + gone.runs();
@@ -168,7 +170,7 @@
 
 #[tokio::test]
 async fn another_vm_takes_over_from_a_home_that_is_killed() -> anyhow::Result<()> {
-    let mut fleet = Fleet::new().await?;
+    let mut fleet = fleet().await?;
     fleet.configure(&[KEY]);
     let _target = fleet.target(1, "a1", WORK).await?;
     for vm in 0..3 {
@@ -197,7 +199,7 @@
 
 #[tokio::test]
 async fn a_vm_that_starts_without_the_store_learns_from_the_others() -> anyhow::Result<()> {
-    let mut fleet = Fleet::new().await?;
+    let mut fleet = fleet().await?;
     fleet.configure(&[KEY]);
     let _target = fleet.target(1, "a1", WORK).await?;
     fleet.start(0, "a1")?;
@@ -212,7 +214,7 @@
 
 #[tokio::test]
 async fn sigterm_cuts_no_request_and_moves_the_callers() -> anyhow::Result<()> {
-    let mut fleet = Fleet::new().await?;
+    let mut fleet = fleet().await?;
     fleet.configure(&[KEY]);
     let target = fleet.target(1, "a1", Duration::from_millis(900)).await?;
     fleet.start(0, "a1")?;
@@ -238,7 +240,7 @@
 
 #[tokio::test]
 async fn a_failed_request_is_found_in_the_log_by_its_id() -> anyhow::Result<()> {
-    let mut fleet = Fleet::new().await?;
+    let mut fleet = fleet().await?;
     fleet.configure(&[KEY]);
     let target = fleet.target(1, "a1", WORK).await?;
     fleet.start(0, "a1")?;
--- a/tests/gateway/fleet.rs
+++ b/tools/harness/src/gateway.rs
@@ -1,11 +1,12 @@
+use std::ffi::OsString;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
+use crate::{Caller, Process, Reply};
 use anyhow::Context;
 use bytes::Bytes;
-use harness::{Caller, Process, Reply};
 use http::Method;
 use serde_json::{Value, json};
 use standins::store::Store;
@@ -13,9 +14,9 @@
 use tokio::net::TcpListener;
 
 /// Host of every route.
-pub const HOST: &str = "news.example";
+pub const GATEWAY_HOST: &str = "news.example";
 /// Key of the organisation `north`.
-pub const KEY: &str = "key-north";
+pub const GATEWAY_KEY: &str = "key-north";
 
 const CALLERS: u16 = 18_782;
 const READY: u16 = 18_789;
@@ -26,24 +27,27 @@
 static FLEETS: AtomicU8 = AtomicU8::new(1);
 
 /// Gateways as processes on loopback addresses of their own, with a store and backend servers.
-pub struct Fleet {
+pub struct GatewayFleet {
+    /// The platform's store.
     pub store: Store,
+    /// Processes in the order of their starts.
     pub vms: Vec<Process>,
+    program: OsString,
     folder: PathBuf,
     net: [u8; 2],
     version: u64,
 }
 
-impl Drop for Fleet {
+impl Drop for GatewayFleet {
     fn drop(&mut self) {
         // Left behind if it fails; the folder is in the temporary directory.
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
-impl Fleet {
-    /// A store without VMs.
-    pub async fn new() -> anyhow::Result<Fleet> {
+impl GatewayFleet {
+    /// A store without VMs; `program` is the gateway.
+    pub async fn new(program: impl Into<OsString>) -> anyhow::Result<GatewayFleet> {
         let number = FLEETS.fetch_add(1, Ordering::Relaxed);
         let pid = std::process::id();
         // Two runs at once differ in the process, two fleets of a run in the number.
@@ -52,7 +56,8 @@
         std::fs::create_dir_all(&folder).context("cannot make a folder for the test")?;
         let listener = TcpListener::bind((ip(net, 1), 0)).await?;
         let store = Store::serve(listener)?;
-        Ok(Fleet { store, vms: Vec::new(), folder, net, version: 1 })
+        let vms = Vec::new();
+        Ok(GatewayFleet { store, vms, program: program.into(), folder, net, version: 1 })
     }
 
     /// Address of a VM for callers.
@@ -88,9 +93,9 @@
     pub fn start(&mut self, vm: u8, domain: &str) -> anyhow::Result<usize> {
         let path = self.folder.join(format!("vm-{vm}.json"));
         std::fs::write(&path, self.settings(vm, domain).to_string())?;
-        let program = env!("CARGO_BIN_EXE_papayareel-gateway").into();
         let log = self.folder.join(format!("vm-{vm}.log"));
-        let process = Process::start("gateway", &[program], &[path.into()], &log)?;
+        let process =
+            Process::start("gateway", std::slice::from_ref(&self.program), &[path.into()], &log)?;
         self.vms.push(process);
         Ok(self.vms.len() - 1)
     }
@@ -100,18 +105,22 @@
         std::fs::read_to_string(self.folder.join(format!("vm-{vm}.log"))).unwrap_or_default()
     }
 
+    /// A listener for a backend server or a proxy before it.
+    pub async fn listener(&self, number: u8) -> anyhow::Result<TcpListener> {
+        Ok(TcpListener::bind((ip(self.net, 100 + number), 0)).await?)
+    }
+
     /// Starts a backend server and enters it into the store.
     pub async fn target(&self, number: u8, domain: &str, work: Duration) -> anyhow::Result<Target> {
-        let listener = TcpListener::bind((ip(self.net, 100 + number), 0)).await?;
-        let target = Target::serve(listener, &format!("i-{number}"), work)?;
-        self.list(number, domain, &target, "ready");
+        let target = Target::serve(self.listener(number).await?, &format!("i-{number}"), work)?;
+        self.list(number, domain, target.address(), "ready");
         Ok(target)
     }
 
     /// Writes the entry of a backend server.
-    pub fn list(&self, number: u8, domain: &str, target: &Target, state: &str) {
+    pub fn list(&self, number: u8, domain: &str, address: SocketAddr, state: &str) {
         let entry = json!({
-            "service": "scripts", "address": target.address(), "zone": domain, "version": "v1",
+            "service": "scripts", "address": address, "zone": domain, "version": "v1",
             "slots": 4, "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": 5,
         });
         self.store.put("servers", &format!("i-{number}"), &entry);
@@ -122,7 +131,7 @@
         self.version += 3;
         let route = |name: &str, prefix: &str, kind: &str| {
             json!({"resource_type": "routes", "metadata": {"name": name}, "spec": {
-                "host": HOST, "prefix": prefix, "kind": kind, "timeout_ms": 3000,
+                "host": GATEWAY_HOST, "prefix": prefix, "kind": kind, "timeout_ms": 3000,
                 "latency_objective_ms": 1500, "priority": 1, "service": "scripts",
                 "max_attempts": 2, "public": false}})
         };
@@ -144,7 +153,7 @@
     /// Asks a VM for addresses as a caller of a failure domain; none if it gives none.
     pub async fn resolve(&self, vm: u8, domain: &str) -> Option<SocketAddr> {
         let address = SocketAddr::new(ip(self.net, 10 + vm), ENTRY);
-        let path = format!("/-/resolve?name={HOST}&region=north&zone={domain}");
+        let path = format!("/-/resolve?name={GATEWAY_HOST}&region=north&zone={domain}");
         let reply = get(address, &path).await.ok()?;
         reply.json()["addresses"][0].as_str()?.parse().ok()
     }
@@ -179,7 +188,7 @@
 }
 
 /// Sends a request with a key and the id `id`.
-pub async fn request(
+pub async fn gateway_request(
     address: SocketAddr,
     method: Method,
     path: &str,
@@ -187,8 +196,12 @@
     key: &str,
 ) -> anyhow::Result<Reply> {
     let key = format!("Bearer {key}");
-    let headers =
-        [("host", HOST), ("request-id", id), ("deadline-ms", "4000"), ("authorization", &*key)];
+    let headers = [
+        ("host", GATEWAY_HOST),
+        ("request-id", id),
+        ("deadline-ms", "4000"),
+        ("authorization", &*key),
+    ];
     let body = if method == Method::GET { Bytes::new() } else { Bytes::from_static(b"text") };
     Caller::new(address).send(&method, path, &headers, body).await
 }
--- a/tools/harness/src/lib.rs
+++ b/tools/harness/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod fleet;
+mod gateway;
 mod net;
 /// Lets a program start itself again for the parts of a fleet.
 pub mod parts;
@@ -14,6 +15,7 @@
 
 pub use caller::{Caller, Reply, http};
 pub use fleet::{Fleet, TOKEN};
+pub use gateway::{GATEWAY_HOST, GATEWAY_KEY, GatewayFleet, gateway_request, within};
 pub use net::Net;
 pub use process::Process;
 pub use programs::Programs;
