Publish lists with rows in grace as older than settled ones

The store's version is not raised by heartbeats, so that the end of a grace kept the version and was never published; and a VM that had just started gave a grace although no outage had been long enough for an entry to lapse. Change: a list has twice the store's version, and one more when settled; the grace follows an outage of two heartbeats or more and lasts 2.2 s.

--- a/components/gateway/src/listing.rs
+++ b/components/gateway/src/listing.rs
@@ -18,16 +18,19 @@
     missing: BTreeMap<Box<str>, Uptime>,
     /// Until when missing rows stay in use.
     grace: Uptime,
-    /// Version of the last change that matters.
-    version: u64,
+    /// Store version of the last change that matters.
+    store_version: u64,
+    /// Whether something has changed since it was asked last.
+    changed: bool,
 }
 
 impl Listing {
     /// Goes on from rows that another VM has told.
     pub fn resume(&mut self, rows: BTreeMap<Box<str>, RawRow>, version: u64) {
         self.rows = rows;
-        self.version = version;
+        self.store_version = version / 2;
         self.missing.clear();
+        self.changed = false;
     }
 
     /// Rows in use.
@@ -35,9 +38,15 @@
         &self.rows
     }
 
-    /// Store version of the last change that matters.
+    /// Version of the list: twice the store version of the last change that matters, and one more
+    /// without rows in grace. Of two lists at one store version the settled one is newer.
     pub fn version(&self) -> u64 {
-        self.version
+        self.store_version * 2 + u64::from(self.is_settled())
+    }
+
+    /// Whether something that matters has changed since this was asked last.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
     }
 
     /// Whether no row is in grace.
@@ -69,9 +78,10 @@
 
     /// Takes a row.
     pub fn put(&mut self, row: RawRow) {
-        self.missing.remove(&row.key);
+        self.changed |= self.missing.remove(&row.key).is_some();
         if Self::differs(self.rows.get(&row.key), &row) {
-            self.version = self.version.max(row.version);
+            self.store_version = self.store_version.max(row.version);
+            self.changed = true;
         }
         self.rows.insert(row.key.clone(), row);
     }
@@ -83,10 +93,12 @@
         }
         if now < self.grace {
             self.missing.entry(key.into()).or_insert(self.grace);
+            self.changed = true;
             return;
         }
         self.rows.remove(key);
-        self.version = self.version.max(version);
+        self.store_version = self.store_version.max(version);
+        self.changed = true;
     }
 
     /// Drops the rows that a reading of the whole table does not have.
@@ -105,7 +117,8 @@
         for key in over {
             self.missing.remove(&key);
             self.rows.remove(&key);
-            self.version = self.version.max(version);
+            self.store_version = self.store_version.max(version);
+            self.changed = true;
         }
     }
 
--- a/components/gateway/src/options.rs
+++ b/components/gateway/src/options.rs
@@ -48,7 +48,7 @@
             store_page: Duration::from_millis(2000),
             store_pause: Duration::from_millis(250),
             store_pause_most: Duration::from_millis(1000),
-            return_grace: Duration::from_millis(2300),
+            return_grace: Duration::from_millis(2200),
             entry_ttl: Duration::from_millis(2000),
             idle_once: Duration::from_millis(1500),
             idle_most: Duration::from_millis(4000),
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -11,6 +11,9 @@
 
 /// Longest pause between two checks whether this VM has to watch.
 const CHECK: Duration = Duration::from_millis(200);
+/// Beats of a backend server within an outage that lets its entry lapse: it lapses after three
+/// without one, and the last may have come right after the one before the outage.
+const LAPSE_BEATS: u32 = 2;
 /// Key of the configuration in its table.
 const CONFIGURATION: &str = "config";
 
@@ -40,6 +43,8 @@
 struct Pauses {
     failures: u32,
     table: &'static str,
+    /// When the store answered last; zero before the first time.
+    answered: Uptime,
 }
 
 impl Pauses {
@@ -57,16 +62,19 @@
         pause.mul_f64(0.75 + (node.random() % 512) as f64 / 1024.0)
     }
 
-    /// Notes an answer; returns whether calls had failed before it.
-    fn worked(&mut self, node: &Node) -> bool {
+    /// Notes an answer; returns for how long there was none, if calls had failed before it.
+    fn worked(&mut self, node: &Node) -> Option<Duration> {
         node.metrics.store_call(self.table, true);
-        let was_failing = self.failures > 0;
-        if was_failing {
+        let now = node.now();
+        let outage = (self.failures > 0 && self.answered > Uptime::ZERO)
+            .then(|| now.saturating_sub(self.answered));
+        if self.failures > 0 {
             telemetry::event!(WATCH_BACK, table = self.table, failures = self.failures);
         }
+        self.answered = now;
         self.failures = 0;
         node.knowledge().failing = false;
-        was_failing
+        outage
     }
 }
 
@@ -85,7 +93,7 @@
 /// Watches the configuration while this VM has to.
 pub async fn watch_configuration(node: Arc<Node>) {
     let mut after = 0;
-    let mut pauses = Pauses { failures: 0, table: "configuration" };
+    let mut pauses = Pauses { failures: 0, table: "configuration", answered: Uptime::ZERO };
     let mut client = node.store();
     loop {
         if wait_for_duty(&node).await {
@@ -133,7 +141,7 @@
 /// Watches the entries of backend servers while this VM has to.
 pub async fn watch_backends(node: Arc<Node>) {
     let mut after = 0;
-    let mut pauses = Pauses { failures: 0, table: "backends" };
+    let mut pauses = Pauses { failures: 0, table: "backends", answered: Uptime::ZERO };
     let mut client = node.store();
     let mut listing = Listing::default();
     loop {
@@ -155,11 +163,12 @@
         match result {
             Ok(answer) => {
                 let now = node.now();
-                if pauses.worked(&node) {
+                // A shorter outage lets no entry lapse.
+                let lapse = node.boot.load().heartbeat * LAPSE_BEATS;
+                if pauses.worked(&node).is_some_and(|outage| outage >= lapse) {
                     listing.store_returned(now + node.options.return_grace);
                 }
                 after = answer.version.max(1);
-                let before = listing.version();
                 if whole {
                     let listed = answer.rows.iter().map(|row| row.key.clone()).collect();
                     for row in answer.rows {
@@ -177,8 +186,8 @@
                     }
                 }
                 listing.expire(now, answer.version);
-                if listing.version() > before || (whole && node.knowledge().backends == 0) {
-                    let version = listing.version().max(1);
+                let version = listing.version();
+                if listing.take_changed() || (whole && node.knowledge().backends != version) {
                     learn_backends(&node, listing.rows().clone(), version, "store");
                 }
                 confirm(&node, Duration::ZERO, false, true);
