--- a/components/gateway/src/logs.rs
+++ b/components/gateway/src/logs.rs
@@ -4,6 +4,7 @@
 use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
 
 use anyhow::Context;
+use log::LevelFilter;
 use settings::{Log, LogFormat};
 
 /// Lines that wait for a slow reader of standard output; more are dropped and counted.
@@ -57,6 +58,8 @@
         .context("cannot start the log thread")?;
     let lines: Box<dyn Write + Send> = Box::new(Lines { sender, dropped, line: Vec::new() });
     telemetry::dispatch(&log)?
+        // It writes a line for each call between VMs.
+        .level_for("tarpc", LevelFilter::Warn)
         .chain(fern::Output::writer(lines, "\n"))
         .apply()
         .context("a logger is set already; set one per process")
