Keep one short hash, and log what was swallowed

Cause: reading the whole change: the hash stood twice, a failed receive, accept and reload left no line, and a key of the platform stood outside its folder.

--- a/components/dispatch/src/quota.rs
+++ b/components/dispatch/src/quota.rs
@@ -3,6 +3,8 @@
 
 use kernel::{OrganisationId, Rate, Uptime};
 
+use crate::short_hash;
+
 /// Time constant of the demand estimate.
 const DEMAND: Duration = Duration::from_millis(1500);
 /// Age after which the demand that another VM reported counts no more.
@@ -64,12 +66,6 @@
     configured: bool,
 }
 
-/// Short hash of an organisation's name for reports.
-fn short(name: &str) -> u32 {
-    // FNV-1a: stable over processes, which the hasher of the standard library does not promise.
-    name.bytes().fold(0x811c_9dc5, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193))
-}
-
 impl Quota {
     /// Sets the rates, the usual number of VMs that serve at once, and how many requests they may
     /// admit together beyond a rate and burst.
@@ -104,7 +100,7 @@
 
     /// Part of an organisation's rate that this VM may use now. In [0, 1].
     fn part(&self, now: Uptime, id: &str, rate: f64, own: f64) -> f64 {
-        let hash = short(id);
+        let hash = short_hash(id);
         let mut others = 0.0;
         let mut heard = 0.0;
         for (at, demands) in self.reports.values() {
@@ -161,7 +157,7 @@
 
     /// Demands of this VM to report: organisations that ask for a tenth of their rate or more.
     pub fn demands(&self, now: Uptime) -> Vec<(u32, f64)> {
-        let demands = self.accounts.iter().map(|(id, a)| (short(id), a.demand(now), a));
+        let demands = self.accounts.iter().map(|(id, a)| (short_hash(id), a.demand(now), a));
         demands
             .filter(|(_, demand, a)| *demand >= REPORTED * a.rate.per_second)
             .map(|(hash, demand, _)| (hash, demand))
--- a/components/gateway/src/bus.rs
+++ b/components/gateway/src/bus.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use dispatch::{BackendKey, Claim, Evidence, PeerBeat};
+use dispatch::{BackendKey, Claim, Evidence, PeerBeat, short_hash};
 use kernel::prelude::*;
+use tokio::time::sleep;
 
 use crate::datagram::{BeatMessage, Datagram, DemandPart, EvidencePart, decode, encode};
 use crate::knowledge::confirm;
@@ -14,15 +15,11 @@
 
 /// Largest datagram.
 const MOST_BYTES: usize = 8192;
+/// Pause after a failed receive, so that a broken socket does not spin.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(5);
 /// Age after which another home counts as lost.
 const HOME_LOST: Duration = Duration::from_millis(4000);
 
-/// Short hash of a backend server's id for messages.
-fn short(id: &str) -> u32 {
-    // FNV-1a: stable over processes, which the hasher of the standard library does not promise.
-    id.bytes().fold(0x811c_9dc5, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193))
-}
-
 /// Sends a datagram; a lost one is replaced by the next.
 pub async fn send(node: &Node, to: SocketAddr, datagram: &Datagram) {
     if let Err(error) = node.socket.send_to(&encode(datagram), to).await {
@@ -94,7 +91,7 @@
         return;
     }
     let parts = untold.iter().map(|(id, (failures, successes))| EvidencePart {
-        backend: short(id),
+        backend: short_hash(id),
         failures: *failures,
         successes: *successes,
     });
@@ -139,9 +136,14 @@
     let mut buffer = vec![0; MOST_BYTES];
     let pulling = Arc::new(AtomicBool::new(false));
     loop {
-        let Ok((length, from)) = node.socket.recv_from(&mut buffer).await else {
-            // A port that is closed on the other side shows as an error here.
-            continue;
+        let (length, from) = match node.socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                // A port that is closed on the other side shows as an error here.
+                telemetry::event!(DATAGRAM_DROPPED, vm = "unknown", error = error.to_string());
+                sleep(RECEIVE_PAUSE).await;
+                continue;
+            }
         };
         match decode(&buffer[..length]) {
             Ok(datagram) => take(&node, from, datagram, &pulling).await,
@@ -279,7 +281,7 @@
 fn take_evidence(node: &Node, now: Uptime, parts: &[EvidencePart]) {
     let mut state = node.state();
     let keys: HashMap<u32, BackendKey> =
-        state.backends.iter().map(|(key, b)| (short(&b.entry.id), key)).collect();
+        state.backends.iter().map(|(key, b)| (short_hash(&b.entry.id), key)).collect();
     for part in parts {
         let Some(key) = keys.get(&part.backend) else { continue };
         for _ in 0..part.failures.min(3) {
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -61,7 +61,12 @@
     tokio::spawn(watch::watch_configuration(Arc::clone(&node)));
     tokio::spawn(watch::watch_backends(Arc::clone(&node)));
     tokio::spawn(roster::enter(Arc::clone(&node)));
-    tokio::spawn(reload(Arc::clone(&node), path));
+    let reloads = reload(Arc::clone(&node), path);
+    tokio::spawn(async move {
+        if let Err(error) = reloads.await {
+            telemetry::event!(SETTINGS_REFUSED, error = error.to_string());
+        }
+    });
     let vm = node.boot.load().vm.clone();
     telemetry::event!(STARTED, vm = vm, incarnation = format!("{:016x}", node.vm));
     drain(Arc::clone(&node), stop).await?;
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -10,11 +10,13 @@
 use tarpc::tokio_serde::formats::Json;
 use tokio::net::TcpListener;
 
-use crate::knowledge::{confirm, learn_backends, learn_configuration};
+use crate::knowledge::{learn_backends, learn_configuration};
 use crate::node::Node;
 
 /// Longest time for another VM to give what it knows.
 const PULL: Duration = Duration::from_millis(1500);
+/// Pause after a failed accept, so that a VM out of descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Largest message: the configuration and the entries of all backend servers.
 const MOST_BYTES: usize = 32 << 20;
 
@@ -72,9 +74,13 @@
 /// Serves other VMs until the process ends.
 pub async fn serve(listener: TcpListener, node: Arc<Node>) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(50)).await;
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                telemetry::event!(ACCEPT_FAILED, error = error.to_string());
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
         let server = Server(Arc::clone(&node));
         tokio::spawn(async move {
@@ -132,6 +138,4 @@
         learn_backends(&node, rows.into_iter().map(row).collect(), reply.backends, &source);
     }
     telemetry::event!(KNOWLEDGE_PULLED, vm = source, backends = reply.backends);
-    // Ages come with the next beat.
-    confirm(&node, Duration::from_secs(1), false, false);
 }
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -14,8 +14,6 @@
 /// Beats of a backend server within an outage that lets its entry lapse: it lapses after three
 /// without one, and the last may have come right after the one before the outage.
 const LAPSE_BEATS: u32 = 2;
-/// Key of the configuration in its table.
-const CONFIGURATION: &str = "config";
 
 /// Whether this VM watches the store now.
 fn has_to_watch(node: &Node) -> bool {
@@ -109,7 +107,7 @@
             Ok(answer) => {
                 pauses.worked(&node);
                 after = answer.version.max(1);
-                for row in answer.rows.iter().filter(|row| *row.key == *CONFIGURATION) {
+                for row in answer.rows.iter().filter(|row| row.is_configuration()) {
                     if let Some(value) = &row.value {
                         learn_configuration(&node, value, "store");
                     }
