Count an outage from the first call that failed

Change: Outage in components/dispatch starts with the first failed call. Test: an_outage_starts_with_the_first_call_that_failed.

--- a/components/dispatch/tests/duty.rs
+++ b/components/dispatch/tests/duty.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dispatch::Watcher;
+use dispatch::{Outage, Watcher};
 
 fn standby(place: u32) -> Watcher {
     Watcher {
@@ -62,3 +62,16 @@
     assert!(!alone.has_duty());
     assert!(Watcher { uptime: Duration::from_millis(900), ..alone }.has_duty());
 }
+
+// A VM that had not watched for 20 s took the first failure for an outage of 20 s, kept backend
+// servers that had left in use, and told others of them.
+#[test]
+fn an_outage_starts_with_the_first_call_that_failed() {
+    let at = Duration::from_millis;
+    let mut outage = Outage::default();
+    assert_eq!(outage.ended(at(5_000)), None);
+    assert!(outage.failed(at(25_000)));
+    assert!(!outage.failed(at(25_900)));
+    assert_eq!(outage.ended(at(26_000)), Some(at(1_000)));
+    assert_eq!(outage.ended(at(27_000)), None);
+}
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use adapter::{RawRow, StoreError, Table, decode_backend};
-use dispatch::Watcher;
+use dispatch::{Outage, Watcher};
 use kernel::prelude::*;
 use tokio::time::sleep;
 
@@ -41,16 +41,20 @@
 struct Pauses {
     failures: u32,
     table: &'static str,
-    /// When the store answered last; zero before the first time.
-    answered: Uptime,
+    outage: Outage,
 }
 
 impl Pauses {
-    fn failed(&mut self, node: &Node, error: &StoreError) -> Duration {
+    fn new(table: &'static str) -> Self {
+        Pauses { failures: 0, table, outage: Outage::default() }
+    }
+
+    /// Notes a call that failed; returns the pause before the next.
+    fn failed(&mut self, node: &Node, started: Uptime, error: &StoreError) -> Duration {
         node.metrics.store_call(self.table, false);
         node.knowledge().failing = true;
         self.failures += 1;
-        if self.failures == 1 {
+        if self.outage.failed(started) {
             telemetry::event!(WATCH_LOST, table = self.table, error = error.to_string());
             node.beat.notify_one();
         }
@@ -60,16 +64,13 @@
         pause.mul_f64(0.75 + (node.random() % 512) as f64 / 1024.0)
     }
 
-    /// Notes an answer; returns for how long there was none, if calls had failed before it.
+    /// Notes an answer; returns the length of the outage that it ends.
     fn worked(&mut self, node: &Node) -> Option<Duration> {
         node.metrics.store_call(self.table, true);
-        let now = node.now();
-        let outage = (self.failures > 0 && self.answered > Uptime::ZERO)
-            .then(|| now.saturating_sub(self.answered));
-        if self.failures > 0 {
+        let outage = self.outage.ended(node.now());
+        if outage.is_some() {
             telemetry::event!(WATCH_BACK, table = self.table, failures = self.failures);
         }
-        self.answered = now;
         self.failures = 0;
         node.knowledge().failing = false;
         outage
@@ -91,13 +92,14 @@
 /// Watches the configuration while this VM has to.
 pub async fn watch_configuration(node: Arc<Node>) {
     let mut after = 0;
-    let mut pauses = Pauses { failures: 0, table: "configuration", answered: Uptime::ZERO };
+    let mut pauses = Pauses::new("configuration");
     let mut client = node.store();
     loop {
         if wait_for_duty(&node).await {
             after = 0;
             client = node.store();
         }
+        let started = node.now();
         let result = if after == 0 {
             client.rows(Table::Operator).await
         } else {
@@ -119,7 +121,7 @@
                 after = 0;
             }
             Err(error) => {
-                let pause = pauses.failed(&node, &error);
+                let pause = pauses.failed(&node, started, &error);
                 client = node.store();
                 sleep(pause).await;
             }
@@ -139,7 +141,7 @@
 /// Watches the entries of backend servers while this VM has to.
 pub async fn watch_backends(node: Arc<Node>) {
     let mut after = 0;
-    let mut pauses = Pauses { failures: 0, table: "backends", answered: Uptime::ZERO };
+    let mut pauses = Pauses::new("backends");
     let mut client = node.store();
     let mut listing = Listing::default();
     loop {
@@ -153,6 +155,7 @@
         }
         let wait = listing.wait(node.now(), node.options.feed_wait);
         let whole = after == 0;
+        let started = node.now();
         let result = if whole {
             client.rows(Table::Backends).await
         } else {
@@ -195,7 +198,7 @@
                 after = 0;
             }
             Err(error) => {
-                let pause = pauses.failed(&node, &error);
+                let pause = pauses.failed(&node, started, &error);
                 client = node.store();
                 sleep(pause).await;
             }
