End the grace of missing rows when the store has answered others meanwhile

Change: beats tell when the store answered other VMs; a grace ends when one was answered during the outage. A process starts with 0.6 of its part of a burst. Test: a_grace_ends_when_the_store_has_answered_others_meanwhile.

--- a/components/dispatch/src/quota.rs
+++ b/components/dispatch/src/quota.rs
@@ -11,7 +11,7 @@
 const REPORT_AGE: Duration = Duration::from_millis(3500);
 /// Part of its even part of a burst that a process holds at its start: what others have spent just
 /// before is not known, but while a process starts it admits nothing.
-const START: f64 = 0.8;
+const START: f64 = 0.6;
 /// Part of the slack that VMs use to refuse nothing within a rate while their parts follow the
 /// demand; the rest covers VMs that start, stop or take over.
 const USED: f64 = 0.2;
--- a/components/gateway/src/bus.rs
+++ b/components/gateway/src/bus.rs
@@ -189,6 +189,8 @@
     // A VM that started again has a new incarnation at the same address.
     state.mates.retain(|vm, mate| *vm == beat.vm || mate.peers != beat.peers);
     let known = state.mates.insert(beat.vm, beat.clone()).is_some();
+    let seen = now.saturating_sub(Duration::from_millis(beat.confirmed_ms));
+    state.store_seen = state.store_seen.max(Some(seen));
     let home = state.election.home();
     state.election.hear(
         now,
--- a/components/gateway/src/listing.rs
+++ b/components/gateway/src/listing.rs
@@ -3,6 +3,11 @@
 use adapter::{RawRow, decode_backend};
 use kernel::prelude::*;
 
+/// Time into an outage from which an answer to another VM shows that the store was not away; what
+/// beats tell of times is that exact.
+const CERTAIN: Duration = Duration::from_millis(1000);
+/// Longest wait of a watch with rows in grace, so that what others tell ends it soon.
+const GRACE_WAIT: Duration = Duration::from_millis(200);
 /// Least time that a watch waits, so that an expiring grace causes no burst of calls.
 const SHORTEST_WAIT: Duration = Duration::from_millis(50);
 
@@ -18,6 +23,8 @@
     missing: BTreeMap<Box<str>, Uptime>,
     /// Until when missing rows stay in use.
     grace: Uptime,
+    /// Start and end of the outage that the grace follows.
+    outage: (Uptime, Uptime),
     /// Store version of the last change that matters.
     store_version: u64,
     /// Whether something has changed since it was asked last.
@@ -54,9 +61,21 @@
         self.missing.is_empty()
     }
 
-    /// Notes that the store answers again after failures.
-    pub fn store_returned(&mut self, grace: Uptime) {
-        self.grace = grace;
+    /// Notes that the store answers again after an outage; missing rows stay in use for `grace`.
+    pub fn store_returned(&mut self, outage: Duration, now: Uptime, grace: Duration) {
+        self.outage = (now.saturating_sub(outage), now);
+        self.grace = now + grace;
+    }
+
+    /// Ends the grace if the store has answered another VM meanwhile: then this VM was cut off,
+    /// and no entry has lapsed that should not.
+    pub fn note_seen(&mut self, now: Uptime, seen: Option<Uptime>, version: u64) {
+        let (start, end) = self.outage;
+        if now < self.grace && seen.is_some_and(|at| at > start + CERTAIN && at < end) {
+            self.grace = now;
+            self.missing.values_mut().for_each(|until| *until = now);
+            self.expire(now, version);
+        }
     }
 
     /// Whether a row says something else than before, its sequence and warm-up aside.
@@ -124,6 +143,7 @@
 
     /// Time until the next row may be dropped, at most `longest`.
     pub fn wait(&self, now: Uptime, longest: Duration) -> Duration {
+        let longest = if self.is_settled() { longest } else { longest.min(GRACE_WAIT) };
         let next = self.missing.values().min().copied().unwrap_or(now + longest);
         next.saturating_sub(now).min(longest).max(SHORTEST_WAIT)
     }
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -70,6 +70,7 @@
             homes: Default::default(),
             acquainted: None,
             home_heard: None,
+            store_seen: None,
             untold: Default::default(),
             placement: PlacementOptions::default(),
         };
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -156,6 +156,8 @@
     pub acquainted: Option<Uptime>,
     /// When the home of this failure domain was last heard.
     pub home_heard: Option<Uptime>,
+    /// When the store last answered another VM, as far as their beats tell.
+    pub store_seen: Option<Uptime>,
     /// Evidence for other homes.
     pub untold: Untold,
     /// Weights of placements.
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -166,9 +166,10 @@
                 let now = node.now();
                 // A shorter outage lets no entry lapse.
                 let lapse = node.boot.load().heartbeat * LAPSE_BEATS;
-                if pauses.worked(&node).is_some_and(|outage| outage >= lapse) {
-                    listing.store_returned(now + node.options.return_grace);
+                if let Some(outage) = pauses.worked(&node).filter(|outage| *outage >= lapse) {
+                    listing.store_returned(outage, now, node.options.return_grace);
                 }
+                let seen = node.state().store_seen;
                 after = answer.version.max(1);
                 if whole {
                     let listed = answer.rows.iter().map(|row| row.key.clone()).collect();
@@ -186,6 +187,7 @@
                         }
                     }
                 }
+                listing.note_seen(now, seen, answer.version);
                 listing.expire(now, answer.version);
                 let version = listing.version();
                 if listing.take_changed() || (whole && node.knowledge().backends != version) {
--- a/components/gateway/tests/listing.rs
+++ b/components/gateway/tests/listing.rs
@@ -34,7 +34,7 @@
 fn a_row_that_is_missing_after_an_outage_stays_for_the_grace() {
     let mut listing = Listing::default();
     listing.put(row("i-1", "ready", 5));
-    listing.store_returned(at(1000) + GRACE);
+    listing.store_returned(at(900), at(1000), GRACE);
     listing.keep_only(at(1000), &BTreeSet::new(), 20);
     assert!(listing.rows().contains_key("i-1"));
     listing.expire(at(1000) + GRACE, 25);
@@ -46,7 +46,7 @@
 fn a_row_that_comes_back_in_the_grace_stays() {
     let mut listing = Listing::default();
     listing.put(row("i-1", "ready", 5));
-    listing.store_returned(at(1000) + GRACE);
+    listing.store_returned(at(900), at(1000), GRACE);
     listing.drop_row(at(1200), "i-1", 20);
     listing.put(row("i-1", "ready", 22));
     listing.expire(at(9000), 30);
@@ -69,7 +69,7 @@
     let mut listing = Listing::default();
     listing.put(row("i-1", "ready", 5));
     listing.put(row("i-2", "ready", 6));
-    listing.store_returned(at(1000) + GRACE);
+    listing.store_returned(at(900), at(1000), GRACE);
     listing.drop_row(at(1100), "i-1", 20);
     listing.put(row("i-2", "draining", 21));
     assert!(!listing.is_settled());
@@ -80,3 +80,20 @@
     assert!(listing.is_settled() && listing.take_changed());
     assert_eq!(listing.version(), 43);
 }
+
+// A home that had been cut off took its own cut for an outage of the store, and put a backend
+// server that had left back into use on every VM of its failure domain.
+#[test]
+fn a_grace_ends_when_the_store_has_answered_others_meanwhile() {
+    let mut listing = Listing::default();
+    listing.put(row("i-1", "ready", 5));
+    listing.store_returned(at(8000), at(20_000), GRACE);
+    listing.drop_row(at(20_000), "i-1", 20);
+    // Before the outage, and after it: nothing is known of the time between.
+    for seen in [None, Some(at(11_000)), Some(at(20_050))] {
+        listing.note_seen(at(20_100), seen, 21);
+        assert!(!listing.is_settled());
+    }
+    listing.note_seen(at(20_200), Some(at(17_000)), 21);
+    assert!(listing.is_settled() && listing.rows().is_empty());
+}
