Let the most powerful VM read the store first when all start with nothing

The order in which VMs read the store before anyone can serve was that of their random incarnations, so that VMs with a tenth of a core and 10 Mbit/s read a configuration of 1,184 routes, became homes, and handed it to 25 others: connections timed out, and 1,230 requests were refused without a configuration. Change: before anyone is able to serve, the order is by power, then by incarnation.

--- a/components/dispatch/src/election.rs
+++ b/components/dispatch/src/election.rs
@@ -172,6 +172,17 @@
         beats.into_iter().map(|b| b.vm).collect()
     }
 
+    /// VMs that read the store before this one while none is able to serve.
+    ///
+    /// Answers the return of all VMs at once: the most powerful one has the link and the processor
+    /// to read a large configuration and to hand it to the others.
+    pub fn reading_rank(&self, now: Uptime) -> u32 {
+        let order = |beat: &PeerBeat| ((beat.power * 100.0) as i64, beat.vm);
+        let own = order(&self.own);
+        let live = self.others.iter().filter(|k| k.at + LOST > now);
+        u32::try_from(live.filter(|k| order(&k.beat) > own).count()).unwrap_or(u32::MAX)
+    }
+
     /// Standbys that stand before this one; none for the home.
     pub fn rank(&self, now: Uptime) -> u32 {
         if self.own.claim.term > 0 { 0 } else { self.before(now) }
--- a/components/dispatch/tests/election.rs
+++ b/components/dispatch/tests/election.rs
@@ -104,3 +104,18 @@
     fleet.run(3000);
     assert!(fleet.homes().is_empty());
 }
+
+#[test]
+fn the_most_powerful_vm_reads_the_store_first_when_all_start_with_nothing() {
+    // Incarnations are random: here the least powerful VM has the highest.
+    let powers = [0.5, 0.1, 0.1, 0.5, 0.1];
+    let vm = |(n, power)| Election::new(Uptime::ZERO, n + 1, power);
+    let mut vms: Vec<Election> = (0..).zip(powers).map(vm).collect();
+    let now = Duration::from_millis(40);
+    let beats: Vec<_> = vms.iter().map(|vm| vm.beat(now)).collect();
+    for vm in &mut vms {
+        beats.iter().for_each(|beat| vm.hear(now, *beat));
+    }
+    let ranks: Vec<u32> = vms.iter().map(|vm| vm.reading_rank(now)).collect();
+    assert_eq!(ranks, [1, 4, 3, 0, 2]);
+}
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -118,8 +118,7 @@
         if self.catalogue.load().is_some() {
             return state.election.rank(now);
         }
-        // Before anyone can serve, the order is that of the incarnations.
-        state.mates.keys().filter(|vm| **vm > self.vm).count() as u32
+        state.election.reading_rank(now)
     }
 
     /// A client of the store with its own connection.
