--- a/components/dispatch/tests/election.rs
+++ b/components/dispatch/tests/election.rs
@@ -110,7 +110,7 @@
     // Incarnations are random: here the least powerful VM has the highest.
     let powers = [0.5, 0.1, 0.1, 0.5, 0.1];
     let vm = |(n, power)| Election::new(Uptime::ZERO, n + 1, power);
-    let mut vms: Vec<Election> = (0..).zip(powers).map(vm).collect();
+    let mut vms: Vec<Election> = (0_u64..).zip(powers).map(vm).collect();
     let now = Duration::from_millis(40);
     let beats: Vec<_> = vms.iter().map(|vm| vm.beat(now)).collect();
     for vm in &mut vms {
