Let VMs that learn from the first one leave it the claim

A VM counted the silence of the home from its own start, so that each one that learned the configuration from the first claimed at its next poll. Change: silence counts from when the VM became able to serve; of two claims of one term the more powerful VM wins.

--- a/components/dispatch/src/election.rs
+++ b/components/dispatch/src/election.rs
@@ -16,6 +16,8 @@
 pub struct Claim {
     /// Raised with each change of the home. Zero is no claim.
     pub term: u64,
+    /// Capacity of the VM in hundredths of a core: of two claims of one term the more powerful wins.
+    pub power: u32,
     /// VM that claims, so that two claims of one term differ.
     pub vm: Incarnation,
 }
@@ -35,6 +37,13 @@
     pub able: bool,
 }
 
+impl PeerBeat {
+    /// The claim of this VM for a term.
+    pub fn claim(&self, term: u64) -> Claim {
+        Claim { term, power: (self.power * 100.0) as u32, vm: self.vm }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Known {
     beat: PeerBeat,
@@ -63,6 +72,8 @@
     /// Highest claim heard, and when.
     home: (Claim, Uptime),
     highest: u64,
+    /// When this VM became able to serve; none while it is not.
+    able_since: Option<Uptime>,
 }
 
 impl Election {
@@ -70,7 +81,13 @@
     pub fn new(now: Uptime, vm: Incarnation, power: f64) -> Self {
         let own =
             PeerBeat { vm, uptime: Duration::ZERO, power, claim: Claim::default(), able: false };
-        Election { own, others: Vec::new(), home: (Claim::default(), now), highest: 0 }
+        Election {
+            own,
+            others: Vec::new(),
+            home: (Claim::default(), now),
+            highest: 0,
+            able_since: None,
+        }
     }
 
     /// Sets whether this VM is able to serve. A home that is not steps down.
@@ -117,8 +134,8 @@
         }
     }
 
-    fn rank_key(beat: &PeerBeat) -> (bool, i64, std::cmp::Reverse<u64>, Incarnation) {
-        let power = (beat.power * 100.0) as i64;
+    fn rank_key(beat: &PeerBeat) -> (bool, u32, std::cmp::Reverse<u64>, Incarnation) {
+        let power = (beat.power * 100.0) as u32;
         let uptime = beat.uptime.as_secs();
         (beat.uptime >= SETTLED, power, std::cmp::Reverse(uptime), beat.vm)
     }
@@ -143,14 +160,17 @@
             return Role::Home;
         }
         if !self.own.able {
+            self.able_since = None;
             return Role::Standby;
         }
+        // VMs that start together become able in turn: the silence before that says nothing.
+        let since = *self.able_since.get_or_insert(now);
         let (claim, heard) = self.home;
         let silence = if claim.term > 0 || heard > Uptime::ZERO { SILENCE } else { Duration::ZERO };
         let wait = silence + STEP * self.before(now);
-        if now.saturating_sub(heard) >= wait {
+        if now.saturating_sub(heard.max(since)) >= wait {
             self.highest += 1;
-            self.own.claim = Claim { term: self.highest, vm: self.own.vm };
+            self.own.claim = self.own.claim(self.highest);
             self.home = (self.own.claim, now);
             return Role::Home;
         }
@@ -177,7 +197,7 @@
     /// Answers the return of all VMs at once: the most powerful one has the link and the processor
     /// to read a large configuration and to hand it to the others.
     pub fn reading_rank(&self, now: Uptime) -> u32 {
-        let order = |beat: &PeerBeat| ((beat.power * 100.0) as i64, beat.vm);
+        let order = |beat: &PeerBeat| ((beat.power * 100.0) as u32, beat.vm);
         let own = order(&self.own);
         let live = self.others.iter().filter(|k| k.at + LOST > now);
         u32::try_from(live.filter(|k| order(&k.beat) > own).count()).unwrap_or(u32::MAX)
--- a/components/dispatch/tests/election.rs
+++ b/components/dispatch/tests/election.rs
@@ -119,3 +119,35 @@
     let ranks: Vec<u32> = vms.iter().map(|vm| vm.reading_rank(now)).collect();
     assert_eq!(ranks, [1, 4, 3, 0, 2]);
 }
+
+// A VM learns the configuration from the first that has it, before that one claims to be home. Its
+// silence was counted from the start of the process, so that each such VM claimed at once.
+#[test]
+fn vms_that_learn_from_the_first_one_leave_it_the_claim() {
+    let mut first = Election::new(Uptime::ZERO, 1, 0.5);
+    let mut second = Election::new(Uptime::ZERO, 2, 0.1);
+    let ms = Duration::from_millis;
+    first.set_able(true);
+    second.hear(ms(600), first.beat(ms(600)));
+    second.set_able(true);
+    assert_eq!(second.poll(ms(640)), Role::Standby);
+    assert_eq!(first.poll(ms(650)), Role::Home);
+    second.hear(ms(651), first.beat(ms(651)));
+    assert_eq!(second.poll(ms(900)), Role::Standby);
+}
+
+#[test]
+fn of_two_claims_of_one_term_the_more_powerful_vm_wins() {
+    let mut strong = Election::new(Uptime::ZERO, 1, 0.5);
+    let mut weak = Election::new(Uptime::ZERO, 2, 0.1);
+    let ms = Duration::from_millis;
+    for vm in [&mut strong, &mut weak] {
+        vm.set_able(true);
+        assert_eq!(vm.poll(ms(600)), Role::Home);
+    }
+    let (from_strong, from_weak) = (strong.beat(ms(610)), weak.beat(ms(610)));
+    strong.hear(ms(611), from_weak);
+    weak.hear(ms(611), from_strong);
+    assert_eq!(strong.poll(ms(650)), Role::Home);
+    assert_eq!(weak.poll(ms(650)), Role::Standby);
+}
--- a/components/gateway/src/bus.rs
+++ b/components/gateway/src/bus.rs
@@ -192,13 +192,17 @@
     let seen = now.saturating_sub(Duration::from_millis(beat.confirmed_ms));
     state.store_seen = state.store_seen.max(Some(seen));
     let home = state.election.home();
+    let claim = match beat.term {
+        0 => Claim::default(),
+        term => Claim { term, power: beat.power, vm: beat.vm },
+    };
     state.election.hear(
         now,
         PeerBeat {
             vm: beat.vm,
             uptime: Duration::from_millis(beat.uptime_ms),
             power: f64::from(beat.power) / 100.0,
-            claim: Claim { term: beat.term, vm: if beat.term > 0 { beat.vm } else { 0 } },
+            claim,
             able: beat.able,
         },
     );
