Give a process a part of the rates' slack at its start

A small organisation's part of a burst at the start is less than one request (0.6 of a quarter of 4), and its callers, who waited while no VM ran, come back at once. Change: a process holds 0.35 of its part of the slack besides, given once and not refilled. Test: a_small_organisation_that_returns_with_the_fleet_is_not_refused fails without the reserve.

--- a/components/dispatch/src/quota.rs
+++ b/components/dispatch/src/quota.rs
@@ -12,6 +12,9 @@
 /// Part of its even part of a burst that a process holds at its start: what others have spent just
 /// before is not known, but while a process starts it admits nothing.
 const START: f64 = 0.6;
+/// Part of the slack that a process may use at its start: a small organisation's part of a burst is
+/// less than one request, and its callers come back all at once.
+const START_SLACK: f64 = 0.35;
 /// Part of the slack that VMs use to refuse nothing within a rate while their parts follow the
 /// demand; the rest covers VMs that start, stop or take over.
 const USED: f64 = 0.2;
@@ -36,6 +39,8 @@
 struct Account {
     rate: Rate,
     tokens: f64,
+    /// Requests of the slack that were given at the start of the process, once. Not negative.
+    reserve: f64,
     at: Uptime,
     /// Requests asked for a second, over `DEMAND`.
     demand: f64,
@@ -43,6 +48,13 @@
 }
 
 impl Account {
+    /// Spends one request, of the reserve only what the tokens lack.
+    fn spend(&mut self) {
+        let lack = (1.0 - self.tokens.max(0.0)).clamp(0.0, self.reserve);
+        self.reserve -= lack;
+        self.tokens -= 1.0 - lack;
+    }
+
     fn demand(&self, now: Uptime) -> f64 {
         let age = now.saturating_sub(self.asked).as_secs_f64();
         self.demand * (-age / DEMAND.as_secs_f64()).exp()
@@ -88,6 +100,7 @@
                 None => Account {
                     rate,
                     tokens: rate.burst / self.servers * if first { START } else { 1.0 },
+                    reserve: if first { START_SLACK * slack / self.servers } else { 0.0 },
                     at: now,
                     demand: 0.0,
                     asked: now,
@@ -133,8 +146,8 @@
         let earned = now.saturating_sub(account.at).as_secs_f64() * refill;
         account.tokens = (account.tokens + earned).min(burst);
         account.at = now;
-        if account.tokens >= 1.0 {
-            account.tokens -= 1.0;
+        if account.tokens + account.reserve >= 1.0 {
+            account.spend();
             return QuotaVerdict::Admitted;
         }
         let wait = (1.0 - account.tokens) / refill.max(0.1);
--- a/components/dispatch/tests/quota.rs
+++ b/components/dispatch/tests/quota.rs
@@ -122,3 +122,21 @@
     // They were configured a second before and have earned one second of the rate since.
     assert!(f64::from(admitted) <= RATE.burst + RATE.per_second, "{admitted} admitted");
 }
+
+// All VMs return after 1.4 s without any, and the callers of a small organisation come at once.
+#[test]
+fn a_small_organisation_that_returns_with_the_fleet_is_not_refused() {
+    let id: OrganisationId = "small".into();
+    let rate = Rate { per_second: 4.0, burst: 4.0 };
+    let mut refused = 0;
+    for _ in 0..4 {
+        let mut quota = Quota::default();
+        quota.configure(Uptime::ZERO, std::iter::once((&id, Some(rate))), 4, SLACK);
+        // 1.4 s of its usual demand, as each home sees it.
+        for _ in 0..2 {
+            let verdict = quota.admit(Duration::from_millis(100), "small");
+            refused += u32::from(verdict != QuotaVerdict::Admitted);
+        }
+    }
+    assert_eq!(refused, 0);
+}
