Reach cut backend servers through another VM, and know a sudden loss at once

Change: a home that cannot connect to a backend server of its failure domain asks up to three other VMs whether they can, and sends its requests through one that does (relay.rs; port after that for other VMs); the direct way is checked every 1.5 s and longer. An idle connection that was closed no longer counts as a failure to connect.

--- a/components/dispatch/src/backends.rs
+++ b/components/dispatch/src/backends.rs
@@ -10,6 +10,8 @@
 const UNREACHABLE: Duration = Duration::from_millis(1500);
 /// Longest time that an unreachable backend server is kept last in line.
 const UNREACHABLE_MOST: Duration = Duration::from_secs(6);
+/// Pause between two searches for a relay: three connections of VMs that may fail as well.
+const SEEK_PAUSE: Duration = Duration::from_millis(1500);
 /// Age after which a load report says nothing.
 const REPORT_AGE: Duration = Duration::from_millis(600);
 
@@ -42,13 +44,47 @@
     pub warmup: Duration,
 }
 
-/// How this VM reached a backend server last.
+/// How this VM reaches a backend server.
+///
+/// Answers one-way cuts between a few VMs and some backend servers: a backend server that this VM
+/// cannot connect to stays in use through another VM that can.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Reach {
     /// Consecutive failures to connect.
     pub failures: u32,
-    /// Until when it is kept last in line.
+    /// Until when it is kept last in line, or reached through the relay without another check.
     pub until: Uptime,
+    /// VM through which requests go; none while they are sent directly.
+    pub relay: Option<Incarnation>,
+    /// When a relay was last looked for.
+    pub sought: Option<Uptime>,
+}
+
+impl Reach {
+    /// Whether it is kept last in line: no connection, and no relay.
+    pub fn is_lost(&self, now: Uptime) -> bool {
+        self.relay.is_none() && now < self.until
+    }
+
+    /// Whether to look for a relay now; notes that it is done.
+    pub fn seek(&mut self, now: Uptime) -> bool {
+        let due = self.relay.is_none()
+            && self.failures > 0
+            && self.sought.is_none_or(|at| now.saturating_sub(at) >= SEEK_PAUSE);
+        if due {
+            self.sought = Some(now);
+        }
+        due
+    }
+
+    /// Whether to check now if it can be reached directly again; notes that it is done.
+    pub fn recheck(&mut self, now: Uptime) -> bool {
+        let due = self.relay.is_some() && now >= self.until;
+        if due {
+            self.until = now + UNREACHABLE;
+        }
+        due
+    }
 }
 
 /// What this VM knows of one start of a backend server.
@@ -188,6 +224,11 @@
         self.states.iter()
     }
 
+    /// All backend servers.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (BackendKey, &mut BackendState)> {
+        self.states.iter_mut()
+    }
+
     /// Takes a backend server out before the list says so, as when another has its address.
     pub fn remove(&mut self, key: BackendKey) {
         if let Some(state) = self.states.remove(key) {
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -22,6 +22,8 @@
     pub region_kb: f64,
     /// Round trip to another region, in seconds.
     pub region_trip: f64,
+    /// Time that a relay adds, in seconds.
+    pub relay_trip: f64,
     /// Part of a failure's cost that is left when the request may be sent once more.
     pub retried: f64,
     /// Slowdown of a backend server right after its start.
@@ -38,6 +40,8 @@
             domain_kb: 0.1,
             region_kb: 0.13,
             region_trip: 0.06,
+            // A connection and a request within a failure domain, on two small VMs.
+            relay_trip: 0.01,
             // A repeat costs a slot elsewhere and time.
             retried: 0.3,
             // The platform's backend servers take about twice as long while cold.
@@ -87,18 +91,17 @@
     /// Failing part from which the floor binds strictly: just below the tenth from which it is
     /// counted.
     const STRICT_FROM: f64 = 0.085;
-    /// Part of the allowance that is left then: the floor is counted among backend servers without
-    /// known trouble, which may be few, and the idle ones may be among them.
-    const STRICT: f64 = 0.5;
     /// Coverage above the floor, as the trying takes time.
     const MARGIN: f64 = 0.03;
 
     /// Backend servers out of `count` that may go without work.
     pub fn allowance(&self, count: usize) -> usize {
-        let idle = (1.0 - self.floor - Self::MARGIN).max(0.0) * count as f64;
         if self.failing > Self::STRICT_FROM {
-            return (idle * Self::STRICT) as usize;
+            // The floor is counted among backend servers without known trouble, which may be few
+            // and mostly idle ones.
+            return 0;
         }
+        let idle = (1.0 - self.floor - Self::MARGIN).max(0.0) * count as f64;
         // One of a few is likely to be gray, and trying it fails requests.
         (idle as usize).max(1)
     }
@@ -150,7 +153,7 @@
     options: &PlacementOptions,
 ) -> f64 {
     let mut failure = state.health.failure(now, length);
-    if now < state.reach.until {
+    if state.reach.is_lost(now) {
         // It can still be tried: a failure to connect costs time and leaves the request unsent.
         failure = failure.max(0.8);
     }
@@ -167,6 +170,8 @@
     let load = f64::from(state.load(now)) / f64::from(state.entry.slots);
     // Beyond its slots a request waits there for those before it.
     time *= 1.0 + (load + 1.0 / f64::from(state.entry.slots) - 1.0).max(0.0);
+    // A relay is in the own failure domain.
+    let trip = if state.reach.relay.is_some() { trip + options.relay_trip } else { trip };
     let late = ((time + trip) / request.left.max(0.05)).min(2.0);
     // Each home tries the backend servers of its own failure domain.
     let tries = (explore || state.used.is_none())
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -5,6 +5,7 @@
 use dispatch::BackendKey;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 
 use crate::node::Node;
 use crate::pool::SendError;
@@ -48,8 +49,10 @@
 pub enum Ended {
     /// A whole answer.
     Answered(Answer),
-    /// No byte of it was sent.
+    /// No byte of it was sent, because there was no connection.
     Unsent(Box<str>),
+    /// No byte of it was sent, because an idle connection had been closed.
+    Stale,
     /// It may have run: the connection broke, or the answer was not whole or not its own.
     Broken(Box<str>),
 }
@@ -67,6 +70,36 @@
     None
 }
 
+impl Outgoing {
+    /// The request as the HTTP library sends it.
+    pub fn request(self) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body));
+        *request.method_mut() = self.method;
+        *request.uri_mut() = self.target;
+        *request.headers_mut() = self.headers;
+        request
+    }
+}
+
+/// Reads a body to its end; an error if it was cut or is too large.
+pub async fn read_whole(mut incoming: Incoming) -> Result<Bytes, Box<str>> {
+    let mut body = BytesMut::new();
+    while let Some(frame) = incoming.frame().await {
+        match frame {
+            Err(error) => return Err(format!("the answer was cut: {error}").into()),
+            Ok(frame) => {
+                if let Ok(data) = frame.into_data() {
+                    body.extend_from_slice(&data);
+                }
+            }
+        }
+        if body.len() > MOST_BYTES {
+            return Err("the answer is too large".into());
+        }
+    }
+    Ok(body.freeze())
+}
+
 /// Sends a request to a backend server and reads the whole answer.
 pub async fn exchange(
     node: &Node,
@@ -82,36 +115,23 @@
     let mut connection = match opened {
         Ok(connection) => connection,
         Err(SendError::Connect(error)) => return Ended::Unsent(error.to_string().into()),
-        Err(error) => return Ended::Unsent(format!("{error:?}").into()),
+        Err(_) => return Ended::Stale,
     };
-    let mut request = Request::new(Full::new(outgoing.body));
-    *request.method_mut() = outgoing.method;
-    *request.uri_mut() = outgoing.target;
-    *request.headers_mut() = outgoing.headers;
-    let response = match connection.send(request).await {
+    let request_id = outgoing.request_id.clone();
+    let response = match connection.send(outgoing.request()).await {
         Ok(response) => response,
         Err(SendError::Broken(error)) => return Ended::Broken(error.to_string().into()),
-        Err(_) => return Ended::Unsent("the idle connection was closed".into()),
+        Err(_) => return Ended::Stale,
     };
-    let (parts, mut incoming) = response.into_parts();
+    let (parts, incoming) = response.into_parts();
     let head = decode_answer(parts.status, &parts.headers);
-    if let Some(reason) = unusable(&head, parts.status, &outgoing.request_id) {
+    if let Some(reason) = unusable(&head, parts.status, &request_id) {
         return Ended::Broken(reason.into());
     }
-    let mut body = BytesMut::new();
-    while let Some(frame) = incoming.frame().await {
-        match frame {
-            Err(error) => return Ended::Broken(format!("the answer was cut: {error}").into()),
-            Ok(frame) => {
-                if let Ok(data) = frame.into_data() {
-                    body.extend_from_slice(&data);
-                }
-            }
-        }
-        if body.len() > MOST_BYTES {
-            return Ended::Broken("the answer is too large".into());
-        }
-    }
+    let body = match read_whole(incoming).await {
+        Ok(body) => body,
+        Err(cause) => return Ended::Broken(cause),
+    };
     if !head.last {
         let keep = head.keep_alive.map_or(options.idle_most, |told| {
             // The backend server's clock started before this one.
@@ -119,12 +139,7 @@
         });
         node.pools.give_back(key, connection, keep);
     }
-    Ended::Answered(Answer {
-        status: parts.status,
-        headers: parts.headers,
-        head,
-        body: body.freeze(),
-    })
+    Ended::Answered(Answer { status: parts.status, headers: parts.headers, head, body })
 }
 
 /// Whether a backend server that broke a connection accepts another: it has not died.
--- a/components/gateway/src/flow.rs
+++ b/components/gateway/src/flow.rs
@@ -228,7 +228,7 @@
         if let Some(first) = route.services.first()
             && let Some(service) = state.services.get_mut(&first.service)
         {
-            service.results.count(now, false);
+            service.outcomes.count(now, false);
         }
         let message = format!(
             "organisation {organisation} is above its rate (configuration {})",
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod node;
 mod options;
 mod pool;
+mod relay;
 mod roster;
 mod run;
 mod send;
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -41,6 +41,23 @@
     sender: SendRequest<Full<Bytes>>,
 }
 
+/// Opens a connection within `limit`.
+pub async fn open(address: SocketAddr, limit: Duration) -> Result<Connection, SendError> {
+    let stream = tokio::time::timeout(limit, TcpStream::connect(address))
+        .await
+        .map_err(|_| SendError::Connect(std::io::ErrorKind::TimedOut.into()))?
+        .map_err(SendError::Connect)?;
+    stream.set_nodelay(true).map_err(SendError::Connect)?;
+    SockRef::from(&stream).set_tcp_user_timeout(Some(SILENCE)).map_err(SendError::Connect)?;
+    let (sender, connection) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(|_| SendError::Unsent)?;
+    tokio::spawn(async move {
+        // Whoever waits for an answer sees the same error.
+        let _ = connection.await;
+    });
+    Ok(Connection { sender })
+}
+
 /// Idle connections to backend servers.
 #[derive(Default)]
 pub struct Pools {
@@ -78,19 +95,7 @@
         if let Some(sender) = self.take(key, age) {
             return Ok(Connection { sender });
         }
-        let stream = tokio::time::timeout(limit, TcpStream::connect(address))
-            .await
-            .map_err(|_| SendError::Connect(std::io::ErrorKind::TimedOut.into()))?
-            .map_err(SendError::Connect)?;
-        stream.set_nodelay(true).map_err(SendError::Connect)?;
-        SockRef::from(&stream).set_tcp_user_timeout(Some(SILENCE)).map_err(SendError::Connect)?;
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|_| SendError::Unsent)?;
-        tokio::spawn(async move {
-            // Whoever waits for an answer sees the same error.
-            let _ = connection.await;
-        });
-        Ok(Connection { sender })
+        open(address, limit).await
     }
 
     /// Takes back a connection whose answer was read to its end. `keep` is how long the backend
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -12,7 +12,7 @@
 use crate::drain::{drain, last_wait, reload};
 use crate::node::Node;
 use crate::options::Options;
-use crate::{bus, entry, flow, logs, roster, sync, tick, watch};
+use crate::{bus, entry, flow, logs, relay, roster, sync, tick, watch};
 
 async fn listen(address: SocketAddr, what: &str) -> anyhow::Result<TcpListener> {
     TcpListener::bind(address)
@@ -50,6 +50,8 @@
         let node = Arc::clone(&node);
         servers.push(tokio::spawn(serve(listener, node, door, stop.clone())));
     }
+    let listener = listen(addresses.relay, "requests of other VMs").await?;
+    servers.push(tokio::spawn(serve(listener, Arc::clone(&node), relay::handle, stop.clone())));
     let listener = listen(addresses.metrics, "metrics").await?;
     tokio::spawn(serve(listener, Arc::clone(&node), entry::metrics, stop.clone()));
     let listener = listen(addresses.peers, "other VMs").await?;
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use adapter::backend_request_headers;
-use dispatch::{BackendKey, Distance, Evidence, GatewayRoute};
+use dispatch::{BackendEntry, BackendKey, Distance, Evidence, GatewayRoute};
 use futures::stream::{FuturesUnordered, StreamExt};
 use kernel::prelude::*;
 use tokio::time::sleep;
@@ -11,6 +11,7 @@
 use crate::datagram::Datagram;
 use crate::exchange::{Answer, Ended, Outgoing, exchange, is_alive};
 use crate::node::Node;
+use crate::relay;
 use crate::slot::{NoSlot, Slot, acquire};
 use crate::state::{Demand, Usual};
 
@@ -28,6 +29,9 @@
 /// Pause that callers are told after a request that no backend server took.
 const UNRUN_RETRY: Duration = Duration::from_millis(200);
 
+/// Cause of an attempt that was not sent on an idle connection.
+const STALE: &str = "the idle connection was closed";
+
 /// A request that has been admitted.
 pub struct Job {
     /// Route.
@@ -85,7 +89,7 @@
     {
         let mut state = node.state();
         if let Some(service) = state.services.get_mut(&job.service) {
-            service.results.count(now, served);
+            service.outcomes.count(now, served);
         }
         if let Err(refusal) = &result
             && refusal.outcome == Outcome::NotRun
@@ -271,9 +275,9 @@
     let key = slot.key;
     let target = {
         let state = node.state();
-        state.backends.get(key).map(|b| (b.entry.clone(), node.distance(&b.entry.domain)))
+        state.backends.get(key).map(|b| (b.entry.clone(), b.reach.relay))
     };
-    let Some((entry, distance)) = target else {
+    let Some((entry, via)) = target else {
         let ended = Ended::Unsent("the backend server has left".into());
         return Attempt { key, backend: "".into(), ended };
     };
@@ -286,9 +290,8 @@
         &entry.id,
         left,
     );
-    let remote = distance == Distance::Remote;
     let bytes = outgoing.body.len();
-    let mut sent = pin!(exchange(node, key, entry.address, remote, outgoing));
+    let mut sent = pin!(transmit(node, key, &entry, via, outgoing));
     let ended = tokio::select! {
         ended = &mut sent => ended,
         () = sleep(overdue) => {
@@ -304,14 +307,35 @@
         }
     };
     let took = node.now().saturating_sub(now);
-    learn(node, job, key, &entry.id, &ended, took, bytes);
+    learn(node, job, key, &entry.id, via, &ended, took, bytes);
+    if matches!(ended, Ended::Unsent(_)) {
+        relay::maintain(node);
+    }
     if let Ended::Broken(_) = &ended
+        && via.is_none()
         && !is_alive(entry.address, ALIVE_CHECK).await
     {
         died(node, job, key, &entry.id).await;
     }
     drop(slot);
-    Attempt { key, backend: entry.id, ended }
+    Attempt { key, backend: entry.id.clone(), ended }
+}
+
+/// Sends a request to a backend server, through another VM if this one cannot connect to it.
+async fn transmit(
+    node: &Arc<Node>,
+    key: BackendKey,
+    entry: &BackendEntry,
+    via: Option<Incarnation>,
+    outgoing: Outgoing,
+) -> Ended {
+    match via {
+        Some(vm) => relay::exchange_through(node, vm, entry, outgoing).await,
+        None => {
+            let remote = node.distance(&entry.domain) == Distance::Remote;
+            exchange(node, key, entry.address, remote, outgoing).await
+        }
+    }
 }
 
 /// Notes that a backend server died while it had the request, and tells other homes.
@@ -354,6 +378,7 @@
     job: &Job,
     key: BackendKey,
     backend: &str,
+    via: Option<Incarnation>,
     ended: &Ended,
     took: Duration,
     sent: usize,
@@ -368,7 +393,9 @@
                 return;
             }
             if let Some(backend) = state.backends.get_mut(key) {
-                backend.reached();
+                if via.is_none() {
+                    backend.reached();
+                }
                 if let Some(load) = answer.head.load {
                     backend.report(now, load.running, load.waiting);
                 }
@@ -390,10 +417,12 @@
         }
         Ended::Unsent(cause) => {
             if let Some(backend) = state.backends.get_mut(key) {
+                backend.reach.relay = None;
                 backend.unreachable(now);
             }
             (None, cause.to_string())
         }
+        Ended::Stale => (None, STALE.to_owned()),
         Ended::Broken(cause) => (Some(Evidence::Broken), cause.to_string()),
     };
     if let Some(seen) = seen {
@@ -437,6 +466,11 @@
             progress.unsent += 1;
             progress.cause = cause;
         }
+        Ended::Stale => {
+            progress.sends -= 1;
+            progress.unsent += 1;
+            progress.cause = STALE.into();
+        }
         Ended::Broken(cause) => {
             progress.maybe_run = true;
             progress.cause = cause;
--- a/components/gateway/src/slot.rs
+++ b/components/gateway/src/slot.rs
@@ -62,7 +62,7 @@
                 service.repeatable = Some(now);
             }
             let spared = service.repeatable.is_some_and(|at| now.saturating_sub(at) < SPARED);
-            Coverage { floor, failing: service.results.failing(now), spared }
+            Coverage { floor, failing: service.outcomes.failing(now), spared }
         },
     );
     let request = Request {
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -1,8 +1,8 @@
 use std::collections::{BTreeMap, HashMap};
 
 use dispatch::{
-    BackendEntry, BackendKey, Backends, CrashSuspects, Election, Evidence, PlacementOptions, Quota,
-    RetryAllowance, Split, Waiter, WaiterId, WaitingRoom,
+    BackendEntry, BackendKey, Backends, CrashSuspects, Election, Evidence, Outcomes,
+    PlacementOptions, Quota, RetryAllowance, Split, Waiter, WaiterId, WaitingRoom,
 };
 use kernel::prelude::*;
 use tokio::sync::oneshot;
@@ -15,8 +15,7 @@
 const FIRST_TIME_S: f64 = 0.3;
 /// Usual size of a request and its answer before the first answer.
 const FIRST_SIZE_KB: f64 = 3.0;
-/// Time over which the failing part of a service's requests is taken.
-const FAILING: Duration = Duration::from_secs(2);
+
 /// Usual time and size of a route's requests.
 #[derive(Clone, Copy, Debug)]
 pub struct Usual {
@@ -40,42 +39,6 @@
     }
 }
 
-/// Results of a service's requests over the last seconds.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Results {
-    since: Uptime,
-    now: (u32, u32),
-    before: (u32, u32),
-}
-
-impl Results {
-    fn turn(&mut self, now: Uptime) {
-        if now.saturating_sub(self.since) >= FAILING {
-            self.before = self.now;
-            self.now = (0, 0);
-            self.since = now;
-        }
-    }
-
-    /// Counts a request.
-    pub fn count(&mut self, now: Uptime, served: bool) {
-        self.turn(now);
-        if served {
-            self.now.0 += 1;
-        } else {
-            self.now.1 += 1;
-        }
-    }
-
-    /// Part of the requests that fails.
-    pub fn failing(&mut self, now: Uptime) -> f64 {
-        self.turn(now);
-        let served = f64::from(self.now.0 + self.before.0);
-        let failed = f64::from(self.now.1 + self.before.1);
-        if failed < 2.0 { 0.0 } else { failed / (served + failed) }
-    }
-}
-
 /// A request that waits for room.
 pub struct Waiting {
     /// Its place in the line.
@@ -112,8 +75,8 @@
     pub waiting: HashMap<WaiterId, Waiting>,
     /// Repeats that this VM may send; none before the bounds are known.
     pub allowance: Option<RetryAllowance>,
-    /// Results of the last seconds.
-    pub results: Results,
+    /// Outcomes of the last seconds.
+    pub outcomes: Outcomes,
     /// When a request that can be sent once more was placed last.
     pub repeatable: Option<Uptime>,
 }
--- a/components/gateway/src/tick.rs
+++ b/components/gateway/src/tick.rs
@@ -7,6 +7,7 @@
 use crate::bus::{own_beat, tell_demand, tell_evidence, tell_mates, tell_pressing_demand};
 use crate::datagram::Datagram;
 use crate::node::Node;
+use crate::relay::maintain;
 use crate::slot::pump;
 
 /// Time between two polls of the election and of the lines.
@@ -89,6 +90,7 @@
             _ = evidence.tick() => tell_evidence(&node).await,
             _ = demand.tick() => {
                 tell_demand(&node).await;
+                maintain(&node);
                 sweep(&node);
             }
         }
--- a/components/telemetry/src/catalogue.rs
+++ b/components/telemetry/src/catalogue.rs
@@ -182,4 +182,10 @@
         "Nothing.";
     REQUEST_HEDGED = 937, Info, "request-hedged", "A second attempt runs beside an overdue one.",
         "Nothing.";
+    RELAY_FOUND = 938, Warn, "relay-found", "This VM cannot connect to a backend server; requests go through another VM.",
+        "Check the network between this VM and the backend server.";
+    RELAY_MISSING = 939, Warn, "relay-missing", "Neither this VM nor those that it asked can connect to a backend server.",
+        "Check the backend server and its network.";
+    RELAY_ENDED = 940, Info, "relay-ended", "This VM can connect to a backend server directly again.",
+        "Nothing.";
 }
