--- a/tools/harness/src/gateway.rs
+++ b/tools/harness/src/gateway.rs
@@ -65,6 +65,11 @@
         SocketAddr::new(ip(self.net, 10 + vm), CALLERS)
     }
 
+    /// Address of a VM for requests of other VMs.
+    pub fn relay(&self, vm: u8) -> SocketAddr {
+        SocketAddr::new(ip(self.net, 10 + vm), PEERS + 1)
+    }
+
     fn settings(&self, vm: u8, domain: &str) -> Value {
         let ip = ip(self.net, 10 + vm);
         let region = if domain.starts_with('a') { "north" } else { "south" };
