Name messages between VMs in the usual terms

Cause: functions and fields of the gateway were named tell_mates, untold or acquainted, which says nothing to a reader of this field. Change: notify_domain, notify_homes, unsent_evidence, announced, handle_beat and so on, and comments to match.

--- a/components/dispatch/src/duty.rs
+++ b/components/dispatch/src/duty.rs
@@ -10,13 +10,13 @@
 const FAILING: Duration = Duration::from_millis(300);
 /// More age for each standby that stands before.
 const STEP: Duration = Duration::from_millis(400);
-/// Time after a VM has greeted the others in which they can tell it what they know.
-const HEARSAY: Duration = Duration::from_millis(80);
+/// Time after a VM has announced itself in which the others can answer with what they know.
+const ANSWER_WAIT: Duration = Duration::from_millis(80);
 /// More time for each VM that stands before: reading a large configuration over the link between
 /// regions takes that long, and all VMs at once would fill it.
-const HEARSAY_STEP: Duration = Duration::from_millis(250);
-/// Time after which a VM that could not greet the others reads the store all the same.
-const UNACQUAINTED: Duration = Duration::from_millis(800);
+const ANSWER_STEP: Duration = Duration::from_millis(250);
+/// Time after which a VM that could not announce the others reads the store all the same.
+const UNANNOUNCED: Duration = Duration::from_millis(800);
 
 /// What a VM knows of its failure domain when it decides whether to watch the store.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -27,8 +27,8 @@
     pub place: u32,
     /// Time since the start of this process.
     pub uptime: Duration,
-    /// Time since it has greeted the other VMs of its failure domain; none before.
-    pub acquainted: Option<Duration>,
+    /// Time since it announced itself to the other VMs of its failure domain; none before.
+    pub announced: Option<Duration>,
     /// Whether it has a configuration and a list of backend servers.
     pub informed: bool,
     /// Time since the store confirmed what it knows, to itself or to another VM.
@@ -49,9 +49,9 @@
             return true;
         }
         if !self.informed {
-            return match self.acquainted {
-                Some(age) => age > HEARSAY + HEARSAY_STEP * self.place,
-                None => self.uptime > UNACQUAINTED,
+            return match self.announced {
+                Some(age) => age > ANSWER_WAIT + ANSWER_STEP * self.place,
+                None => self.uptime > UNANNOUNCED,
             };
         }
         if self.silence.unwrap_or(self.uptime) > CUT_OFF {
--- a/components/dispatch/src/election.rs
+++ b/components/dispatch/src/election.rs
@@ -22,7 +22,7 @@
     pub vm: Incarnation,
 }
 
-/// What a VM tells the others of its failure domain.
+/// Heartbeat of a VM to the others of its failure domain.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PeerBeat {
     /// The VM.
@@ -98,7 +98,7 @@
         }
     }
 
-    /// What this VM tells the others.
+    /// Heartbeat of this VM.
     pub fn beat(&self, now: Uptime) -> PeerBeat {
         PeerBeat { uptime: now, ..self.own }
     }
--- a/components/dispatch/src/health.rs
+++ b/components/dispatch/src/health.rs
@@ -27,7 +27,7 @@
 /// Weight of a new spell in the usual length.
 const SPELL_GAIN: f64 = 0.1;
 
-/// What one request tells of a backend server.
+/// Observation of a backend server by one request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Evidence {
     /// A whole answer that is no failure.
--- a/components/dispatch/src/waiting.rs
+++ b/components/dispatch/src/waiting.rs
@@ -6,9 +6,9 @@
 /// Number of a waiting request, unique on one VM.
 pub type WaiterId = u64;
 
-/// Shortest time after which a rejected caller is told to return.
+/// Shortest Retry-After of a rejected request.
 const RETURN_LEAST: Duration = Duration::from_millis(100);
-/// Longest time after which a rejected caller is told to return.
+/// Longest Retry-After of a rejected request.
 const RETURN_MOST: Duration = Duration::from_secs(3);
 /// Least samples in the estimate of the drain rate.
 const DRAIN_WINDOW: Duration = Duration::from_secs(2);
@@ -27,7 +27,7 @@
 /// Why a request is not let in. It was not run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Rejected {
-    /// When the caller is told to return.
+    /// Retry-After.
     pub retry: Duration,
 }
 
--- a/components/dispatch/tests/duty.rs
+++ b/components/dispatch/tests/duty.rs
@@ -9,7 +9,7 @@
         home: false,
         place,
         uptime: Duration::from_secs(60),
-        acquainted: Some(Duration::from_secs(59)),
+        announced: Some(Duration::from_secs(59)),
         informed: true,
         age: Duration::from_millis(900),
         silence: Some(Duration::from_millis(150)),
@@ -44,8 +44,8 @@
 fn a_starting_vm_first_listens_to_the_others() {
     let start = |place, millis| {
         let age = Duration::from_millis(millis);
-        let acquainted = Some(age);
-        Watcher { informed: false, uptime: age, acquainted, silence: None, ..standby(place) }
+        let announced = Some(age);
+        Watcher { informed: false, uptime: age, announced, silence: None, ..standby(place) }
     };
     assert!(!start(0, 50).has_duty());
     assert!(start(0, 100).has_duty());
@@ -58,7 +58,7 @@
 #[test]
 fn a_vm_that_has_not_met_the_others_does_not_read_the_store_at_once() {
     let uptime = Duration::from_millis(300);
-    let alone = Watcher { informed: false, uptime, acquainted: None, silence: None, ..standby(0) };
+    let alone = Watcher { informed: false, uptime, announced: None, silence: None, ..standby(0) };
     assert!(!alone.has_duty());
     assert!(Watcher { uptime: Duration::from_millis(900), ..alone }.has_duty());
 }
--- a/components/gateway/src/bus.rs
+++ b/components/gateway/src/bus.rs
@@ -36,7 +36,7 @@
 }
 
 /// Tells the homes of other failure domains, and that of this one if it is another VM.
-pub async fn tell_homes(node: &Node, datagram: &Datagram) {
+pub async fn notify_homes(node: &Node, datagram: &Datagram) {
     let mut to = other_homes(node);
     to.extend(own_home(node));
     for address in to {
@@ -48,10 +48,10 @@
 fn own_home(node: &Node) -> Option<SocketAddr> {
     let state = node.state();
     let home = state.election.home().filter(|home| *home != node.vm)?;
-    state.mates.get(&home).map(|mate| mate.peers)
+    state.local_vms.get(&home).map(|beat| beat.peers)
 }
 
-/// What this VM tells of itself.
+/// Heartbeat of this VM.
 pub fn own_beat(node: &Node) -> BeatMessage {
     let now = node.now();
     let boot = node.boot.load();
@@ -77,25 +77,26 @@
 }
 
 /// Tells the VMs of this failure domain.
-pub async fn tell_mates(node: &Node, datagram: &Datagram) {
-    let mates: Vec<SocketAddr> = node.state().mates.values().map(|mate| mate.peers).collect();
-    for mate in mates {
-        send(node, mate, datagram).await;
+pub async fn notify_domain(node: &Node, datagram: &Datagram) {
+    let local_vms: Vec<SocketAddr> =
+        node.state().local_vms.values().map(|beat| beat.peers).collect();
+    for beat in local_vms {
+        send(node, beat, datagram).await;
     }
 }
 
 /// Tells other homes what this VM saw of backend servers since the last time.
-pub async fn tell_evidence(node: &Node) {
-    let untold = std::mem::take(&mut node.state().untold);
-    if untold.is_empty() {
+pub async fn send_evidence(node: &Node) {
+    let unsent_evidence = std::mem::take(&mut node.state().unsent_evidence);
+    if unsent_evidence.is_empty() {
         return;
     }
-    let parts = untold.iter().map(|(id, (failures, successes))| EvidencePart {
+    let parts = unsent_evidence.iter().map(|(id, (failures, successes))| EvidencePart {
         backend: short_hash(id),
         failures: *failures,
         successes: *successes,
     });
-    tell_homes(node, &Datagram::Evidence(parts.collect())).await;
+    notify_homes(node, &Datagram::Evidence(parts.collect())).await;
 }
 
 fn own_demands(node: &Node) -> Vec<DemandPart> {
@@ -109,24 +110,24 @@
 }
 
 /// Tells other homes of this VM's demand, and of itself if it is a home.
-pub async fn tell_demand(node: &Node) {
+pub async fn send_demand(node: &Node) {
     let demands = own_demands(node);
     let home = node.state().election.home() == Some(node.vm);
     if home {
-        tell_homes(node, &Datagram::Home(own_beat(node), demands)).await;
+        notify_homes(node, &Datagram::Home(own_beat(node), demands)).await;
     } else if !demands.is_empty() {
-        tell_homes(node, &Datagram::Demand(node.vm, demands)).await;
+        notify_homes(node, &Datagram::Demand(node.vm, demands)).await;
     }
 }
 
 /// Tells other homes of this VM's demand while an organisation is near its rate.
-pub async fn tell_pressing_demand(node: &Node) {
+pub async fn send_pressing_demand(node: &Node) {
     if node.state().quota.is_pressed(node.now()) {
-        tell_homes(node, &Datagram::Demand(node.vm, own_demands(node))).await;
+        notify_homes(node, &Datagram::Demand(node.vm, own_demands(node))).await;
     }
 }
 
-fn take_demand(node: &Node, now: Uptime, vm: Incarnation, demands: &[DemandPart]) {
+fn record_demand(node: &Node, now: Uptime, vm: Incarnation, demands: &[DemandPart]) {
     let demand = demands.iter().map(|d| (d.organisation, f64::from(d.tenths) / 10.0));
     node.state().quota.report(now, vm, demand);
 }
@@ -146,7 +147,7 @@
             }
         };
         match decode(&buffer[..length]) {
-            Ok(datagram) => take(&node, from, datagram, &pulling).await,
+            Ok(datagram) => handle(&node, from, datagram, &pulling).await,
             Err(error) => {
                 let from = from.to_string();
                 telemetry::event!(DATAGRAM_DROPPED, vm = from, error = error.to_string());
@@ -155,40 +156,40 @@
     }
 }
 
-async fn take(node: &Arc<Node>, from: SocketAddr, datagram: Datagram, pulling: &Arc<AtomicBool>) {
+async fn handle(node: &Arc<Node>, from: SocketAddr, datagram: Datagram, pulling: &Arc<AtomicBool>) {
     let now = node.now();
     match datagram {
         Datagram::Beat(beat) if beat.vm == node.vm => {}
         Datagram::Beat(beat) => {
             if beat.domain == node.boot.load().place.domain {
-                take_mate(node, now, &beat);
+                handle_beat(node, now, &beat);
             } else {
                 // A VM at its start asks a seed: tell it of the home here.
                 send(node, from, &Datagram::Home(own_beat(node), Vec::new())).await;
             }
             pull_newer(node, &beat, pulling);
         }
-        Datagram::Home(beat, demands) => take_home(node, now, beat, demands, pulling).await,
-        Datagram::Demand(vm, demands) => take_demand(node, now, vm, &demands),
+        Datagram::Home(beat, demands) => handle_home(node, now, beat, demands, pulling).await,
+        Datagram::Demand(vm, demands) => record_demand(node, now, vm, &demands),
         Datagram::Stop(vm) => {
             let mut state = node.state();
             state.election.forget(now, vm);
-            state.mates.remove(&vm);
+            state.local_vms.remove(&vm);
             drop(state);
             node.beat.notify_one();
         }
-        Datagram::Evidence(parts) => take_evidence(node, now, &parts),
+        Datagram::Evidence(parts) => apply_evidence(node, now, &parts),
         Datagram::Crash { fingerprint, deaths } => {
             node.state().crashes.learn(now, fingerprint, deaths);
         }
     }
 }
 
-fn take_mate(node: &Node, now: Uptime, beat: &BeatMessage) {
+fn handle_beat(node: &Node, now: Uptime, beat: &BeatMessage) {
     let mut state = node.state();
     // A VM that started again has a new incarnation at the same address.
-    state.mates.retain(|vm, mate| *vm == beat.vm || mate.peers != beat.peers);
-    let known = state.mates.insert(beat.vm, beat.clone()).is_some();
+    state.local_vms.retain(|vm, beat| *vm == beat.vm || beat.peers != beat.peers);
+    let known = state.local_vms.insert(beat.vm, beat.clone()).is_some();
     let seen = now.saturating_sub(Duration::from_millis(beat.confirmed_ms));
     state.store_seen = state.store_seen.max(Some(seen));
     let home = state.election.home();
@@ -236,7 +237,7 @@
     });
 }
 
-async fn take_home(
+async fn handle_home(
     node: &Arc<Node>,
     now: Uptime,
     beat: BeatMessage,
@@ -270,7 +271,7 @@
     demands: &[DemandPart],
     own: &str,
 ) -> bool {
-    take_demand(node, now, beat.vm, demands);
+    record_demand(node, now, beat.vm, demands);
     let mut state = node.state();
     if *beat.domain == *own || beat.term == 0 {
         return false;
@@ -284,7 +285,7 @@
     is_new
 }
 
-fn take_evidence(node: &Node, now: Uptime, parts: &[EvidencePart]) {
+fn apply_evidence(node: &Node, now: Uptime, parts: &[EvidencePart]) {
     let mut state = node.state();
     let keys: HashMap<u32, BackendKey> =
         state.backends.iter().map(|(key, b)| (short_hash(&b.entry.id), key)).collect();
--- a/components/gateway/src/datagram.rs
+++ b/components/gateway/src/datagram.rs
@@ -18,7 +18,7 @@
     Unreadable(#[from] postcard::Error),
 }
 
-/// What a VM tells of itself, inside its failure domain and between homes.
+/// Heartbeat of a VM, inside its failure domain and between homes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct BeatMessage {
     /// This process start.
--- a/components/gateway/src/drain.rs
+++ b/components/gateway/src/drain.rs
@@ -8,7 +8,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use tokio_util::sync::CancellationToken;
 
-use crate::bus::tell_mates;
+use crate::bus::notify_domain;
 use crate::datagram::Datagram;
 use crate::node::Node;
 
@@ -32,7 +32,7 @@
     telemetry::event!(STOPPING, vm = node.boot.load().vm);
     // Twice, because a datagram may be lost.
     for _ in 0..2 {
-        tell_mates(&node, &Datagram::Stop(node.vm)).await;
+        notify_domain(&node, &Datagram::Stop(node.vm)).await;
         sleep(Duration::from_millis(20)).await;
     }
     let grace = node.boot.load().bounds.grace;
--- a/components/gateway/src/entry.rs
+++ b/components/gateway/src/entry.rs
@@ -23,8 +23,8 @@
     }
     match state.election.home() {
         Some(home) if home != node.vm => {
-            if let Some(mate) = state.mates.get(&home) {
-                return vec![mate.callers];
+            if let Some(beat) = state.local_vms.get(&home) {
+                return vec![beat.callers];
             }
         }
         _ => {}
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -133,9 +133,9 @@
         Err(cause) => return Ended::Broken(cause),
     };
     if !head.last {
-        let keep = head.keep_alive.map_or(options.idle_most, |told| {
+        let keep = head.keep_alive.map_or(options.idle_most, |stated| {
             // The backend server's clock started before this one.
-            told.saturating_sub(Duration::from_millis(500)).min(options.idle_most)
+            stated.saturating_sub(Duration::from_millis(500)).min(options.idle_most)
         });
         node.pools.give_back(key, connection, keep);
     }
--- a/components/gateway/src/flow.rs
+++ b/components/gateway/src/flow.rs
@@ -19,11 +19,11 @@
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 /// Longest wait for the first configuration of a VM that starts, which takes about 0.4 s.
 const START_WAIT: Duration = Duration::from_millis(600);
-/// Pause that callers are told while this VM has no configuration.
+/// Retry-After while this VM has no configuration.
 const UNCONFIGURED_RETRY: Duration = Duration::from_millis(500);
-/// Pause that callers are told by a VM that stops: another one serves them at once.
+/// Retry-After of a VM that stops: another one serves at once.
 const STOPPING_RETRY: Duration = Duration::from_millis(20);
-/// Pause that callers are told for a request that crashes backend servers.
+/// Retry-After of a request that crashes backend servers.
 const CRASH_RETRY: Duration = Duration::from_secs(30);
 /// Part of calm requests that are logged: one in this many.
 const CALM_SAMPLE: u64 = 64;
@@ -100,11 +100,11 @@
 }
 
 async fn read_body(request: Request<Incoming>, most: usize) -> Result<Bytes, Refusal> {
-    let told = request.headers().get(http::header::CONTENT_LENGTH);
-    let told = told.and_then(|v| v.to_str().ok()).and_then(|v| v.parse::<usize>().ok());
+    let stated = request.headers().get(http::header::CONTENT_LENGTH);
+    let stated = stated.and_then(|v| v.to_str().ok()).and_then(|v| v.parse::<usize>().ok());
     let too_large =
         || Refusal::not_run(RefusalKind::BodyTooLarge, format!("send at most {most} bytes"));
-    if told.is_some_and(|length| length > most) {
+    if stated.is_some_and(|length| length > most) {
         return Err(too_large());
     }
     match Limited::new(request.into_body(), most).collect().await {
--- a/components/gateway/src/listing.rs
+++ b/components/gateway/src/listing.rs
@@ -32,7 +32,7 @@
 }
 
 impl Listing {
-    /// Goes on from rows that another VM has told.
+    /// Continues from rows that another VM has sent.
     pub fn resume(&mut self, rows: BTreeMap<Box<str>, RawRow>, version: u64) {
         self.rows = rows;
         self.store_version = version / 2;
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -18,7 +18,7 @@
 
 /// One gateway process.
 pub struct Node {
-    /// What the platform has told; changes with the settings file.
+    /// The platform's settings; replaced when the file changes.
     pub boot: ArcSwap<Boot>,
     /// Timings.
     pub options: Options,
@@ -66,12 +66,12 @@
             splits: Default::default(),
             usual: Default::default(),
             election: Election::new(Uptime::ZERO, vm, power),
-            mates: Default::default(),
+            local_vms: Default::default(),
             homes: Default::default(),
-            acquainted: None,
+            announced: None,
             home_heard: None,
             store_seen: None,
-            untold: Default::default(),
+            unsent_evidence: Default::default(),
             placement: PlacementOptions::default(),
         };
         Arc::new(Node {
@@ -114,7 +114,7 @@
     }
 
     /// VMs of this failure domain that stand before this one in the order of watching.
-    pub fn place_in_line(&self, state: &State, now: Uptime) -> u32 {
+    pub fn watch_rank(&self, state: &State, now: Uptime) -> u32 {
         if self.catalogue.load().is_some() {
             return state.election.rank(now);
         }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -108,7 +108,7 @@
 fn address_of(node: &Node, vm: Incarnation) -> Option<SocketAddr> {
     let port = node.boot.load().listen.relay.port();
     let state = node.state();
-    state.mates.get(&vm).map(|mate| SocketAddr::new(mate.peers.ip(), port))
+    state.local_vms.get(&vm).map(|beat| SocketAddr::new(beat.peers.ip(), port))
 }
 
 async fn ask(
--- a/components/gateway/src/roster.rs
+++ b/components/gateway/src/roster.rs
@@ -32,10 +32,10 @@
     serde_json::to_vec(&RosterRow { peers: address }).ok()
 }
 
-/// Enters this VM into the table of its failure domain, finds the others there, and greets them.
+/// Registers this VM in the table of its failure domain, and announces it to the others there.
 pub async fn enter(node: Arc<Node>) {
     let boot = node.boot.load_full();
-    greet(&node, &boot.seeds).await;
+    announce(&node, &boot.seeds).await;
     let domain = &boot.place.domain;
     let key: Box<str> = format!("{}{}", vm_prefix(domain), boot.vm).into();
     let client = node.store();
@@ -54,10 +54,10 @@
     }
     node.metrics.store_call("vms", true);
     telemetry::event!(VM_LISTED, vm = boot.vm);
-    find_mates(&node, &client, pause).await;
+    discover_vms(&node, &client, pause).await;
 }
 
-async fn find_mates(node: &Node, client: &adapter::StoreClient, mut pause: Duration) {
+async fn discover_vms(node: &Node, client: &adapter::StoreClient, mut pause: Duration) {
     let boot = node.boot.load_full();
     let prefix = vm_prefix(&boot.place.domain);
     loop {
@@ -67,9 +67,9 @@
                 let rows = rows.rows.iter().filter_map(|r| r.value.as_deref());
                 let found = rows.filter_map(|v| serde_json::from_slice::<RosterRow>(v).ok());
                 let found: Vec<SocketAddr> = found.map(|r| r.peers).collect();
-                greet(node, &found).await;
+                announce(node, &found).await;
                 let now = node.now();
-                node.state().acquainted = Some(now);
+                node.state().announced = Some(now);
                 return;
             }
             Err(error) => {
@@ -83,7 +83,7 @@
 }
 
 /// Sends a beat to VMs that may not know this one.
-async fn greet(node: &Node, addresses: &[SocketAddr]) {
+async fn announce(node: &Node, addresses: &[SocketAddr]) {
     let own = node.boot.load().listen.peers;
     let beat = Datagram::Beat(own_beat(node));
     for address in addresses.iter().filter(|a| **a != own) {
@@ -92,11 +92,11 @@
 }
 
 /// Makes this VM known as the home of its failure domain, and meets the other homes.
-pub async fn meet_homes(node: &Node) {
+pub async fn announce_home(node: &Node) {
     let boot = node.boot.load_full();
     let known: Vec<SocketAddr> = node.state().homes.values().map(|h| h.beat.peers).collect();
     let beat = own_beat(node);
-    tell(node, &known, &beat).await;
+    notify(node, &known, &beat).await;
     let client = node.store();
     let change = Change { key: home_key(&boot.place.domain), value: row(boot.listen.peers) };
     if let Err(error) = client.write(Table::Vms, vec![change]).await {
@@ -108,13 +108,13 @@
             let found = rows.filter_map(|v| serde_json::from_slice::<RosterRow>(v).ok());
             let found: Vec<SocketAddr> =
                 found.map(|r| r.peers).filter(|a| *a != boot.listen.peers).collect();
-            tell(node, &found, &beat).await;
+            notify(node, &found, &beat).await;
         }
         Err(error) => telemetry::event!(VM_UNLISTED, error = error.to_string()),
     }
 }
 
-async fn tell(node: &Node, homes: &[SocketAddr], beat: &BeatMessage) {
+async fn notify(node: &Node, homes: &[SocketAddr], beat: &BeatMessage) {
     for home in homes {
         send(node, *home, &Datagram::Home(beat.clone(), Vec::new())).await;
     }
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -26,7 +26,7 @@
 const DEADLINE_MARGIN: Duration = Duration::from_millis(120);
 /// Longest check whether a backend server that broke a connection still accepts one.
 const ALIVE_CHECK: Duration = Duration::from_millis(150);
-/// Pause that callers are told after a request that no backend server took.
+/// Retry-After of a request that no backend server took.
 const UNRUN_RETRY: Duration = Duration::from_millis(200);
 
 /// Cause of an attempt that was not sent on an idle connection.
@@ -338,7 +338,7 @@
     }
 }
 
-/// Notes that a backend server died while it had the request, and tells other homes.
+/// Notes that a backend server died while it had the request, and notifies other homes.
 async fn died(node: &Arc<Node>, job: &Job, key: BackendKey, backend: &str) {
     let now = node.now();
     let deaths = {
@@ -355,7 +355,7 @@
         backend = backend,
         deaths = deaths,
     );
-    crate::bus::tell_homes(node, &Datagram::Crash { fingerprint: job.fingerprint, deaths }).await;
+    crate::bus::notify_homes(node, &Datagram::Crash { fingerprint: job.fingerprint, deaths }).await;
 }
 
 fn evidence(answer: &Answer) -> Evidence {
@@ -372,7 +372,7 @@
     }
 }
 
-/// Takes what an attempt tells of its backend server.
+/// Records the evidence of an attempt about its backend server.
 fn learn(
     node: &Node,
     job: &Job,
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -81,13 +81,13 @@
     pub repeatable: Option<Uptime>,
 }
 
-/// Evidence that other homes have not been told.
-pub type Untold = BTreeMap<BackendId, (u8, u8)>;
+/// Evidence that has not been sent to other homes: failures and later successes.
+pub type UnsentEvidence = BTreeMap<BackendId, (u8, u8)>;
 
 /// A home of another failure domain, or another VM that serves callers in this one.
 #[derive(Clone, Debug)]
 pub struct OtherHome {
-    /// What it told of itself.
+    /// Its last heartbeat.
     pub beat: BeatMessage,
     /// When.
     pub at: Uptime,
@@ -112,17 +112,17 @@
     /// Part of this VM in its failure domain.
     pub election: Election,
     /// VMs of this failure domain by incarnation.
-    pub mates: HashMap<Incarnation, BeatMessage>,
+    pub local_vms: HashMap<Incarnation, BeatMessage>,
     /// Homes of other failure domains.
     pub homes: HashMap<DomainId, OtherHome>,
-    /// When this VM greeted the others of its failure domain.
-    pub acquainted: Option<Uptime>,
+    /// When this VM announced itself to the others of its failure domain.
+    pub announced: Option<Uptime>,
     /// When the home of this failure domain was last heard.
     pub home_heard: Option<Uptime>,
     /// When the store last answered another VM, as far as their beats tell.
     pub store_seen: Option<Uptime>,
     /// Evidence for other homes.
-    pub untold: Untold,
+    pub unsent_evidence: UnsentEvidence,
     /// Weights of placements.
     pub placement: PlacementOptions,
 }
@@ -133,17 +133,17 @@
         let before = self.backends.gray(now, key);
         self.backends.observe(now, key, evidence);
         let Some(state) = self.backends.get(key) else { return };
-        let untold = self.untold.entry(state.entry.id.clone());
+        let unsent_evidence = self.unsent_evidence.entry(state.entry.id.clone());
         match evidence {
             Evidence::Failure => {
-                let told = untold.or_default();
-                told.0 = told.0.saturating_add(1);
-                told.1 = 0;
+                let unsent = unsent_evidence.or_default();
+                unsent.0 = unsent.0.saturating_add(1);
+                unsent.1 = 0;
             }
-            // Good news matters where bad news was told.
+            // A success matters where a failure was sent before.
             Evidence::Success if before > 0.5 => {
-                let told = untold.or_default();
-                told.1 = told.1.saturating_add(1);
+                let unsent = unsent_evidence.or_default();
+                unsent.1 = unsent.1.saturating_add(1);
             }
             // What broke on the way here says nothing about the way from elsewhere.
             _ => {}
--- a/components/gateway/src/tick.rs
+++ b/components/gateway/src/tick.rs
@@ -4,7 +4,7 @@
 use kernel::prelude::*;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
-use crate::bus::{own_beat, tell_demand, tell_evidence, tell_mates, tell_pressing_demand};
+use crate::bus::{notify_domain, own_beat, send_demand, send_evidence, send_pressing_demand};
 use crate::datagram::Datagram;
 use crate::node::Node;
 use crate::relay::maintain;
@@ -52,7 +52,7 @@
         node.watch.notify_waiters();
         if role == Role::Home {
             let node = Arc::clone(&node);
-            tokio::spawn(async move { crate::roster::meet_homes(&node).await });
+            tokio::spawn(async move { crate::roster::announce_home(&node).await });
         }
     }
 }
@@ -72,7 +72,7 @@
         if node.is_stopping() {
             continue;
         }
-        tell_mates(&node, &Datagram::Beat(own_beat(&node))).await;
+        notify_domain(&node, &Datagram::Beat(own_beat(&node))).await;
     }
 }
 
@@ -86,10 +86,10 @@
     pressing.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            _ = pressing.tick() => tell_pressing_demand(&node).await,
-            _ = evidence.tick() => tell_evidence(&node).await,
+            _ = pressing.tick() => send_pressing_demand(&node).await,
+            _ = evidence.tick() => send_evidence(&node).await,
             _ = demand.tick() => {
-                tell_demand(&node).await;
+                send_demand(&node).await;
                 maintain(&node);
                 sweep(&node);
             }
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -26,13 +26,13 @@
     let home = state.election.home();
     Watcher {
         home: home == Some(node.vm),
-        place: node.place_in_line(&state, now),
+        place: node.watch_rank(&state, now),
         uptime: now,
-        acquainted: state.acquainted.map(|at| now.saturating_sub(at)),
+        announced: state.announced.map(|at| now.saturating_sub(at)),
         informed,
         age,
         silence: state.home_heard.map(|at| now.saturating_sub(at)),
-        failing: home.and_then(|vm| state.mates.get(&vm)).is_some_and(|mate| mate.failing),
+        failing: home.and_then(|vm| state.local_vms.get(&vm)).is_some_and(|beat| beat.failing),
     }
     .has_duty()
 }
@@ -149,7 +149,7 @@
         if listing.is_settled() && wait_for_duty(&node).await {
             after = 0;
             client = node.store();
-            // Goes on from what other VMs have told.
+            // Continues from what other VMs have sent.
             let knowledge = node.knowledge();
             listing.resume(knowledge.rows.clone(), knowledge.backends);
         }
