Count refusals unrun as shedding, not as gray failures

A refusal unrun by a backend server with free slots counted as a gray failure, so that all of them were believed gray for the usual length of a spell, and the work went to other regions, where it was the same. Test: work_stays_at_home_while_every_backend_server_sheds and the one after it. Evidence::Shed is gone, so that the fuzz test of the belief draws from the four kinds that are left.

--- a/components/dispatch/src/backends.rs
+++ b/components/dispatch/src/backends.rs
@@ -4,7 +4,7 @@
 use kernel::prelude::*;
 use slotmap::{SlotMap, new_key_type};
 
-use crate::{Evidence, Health, SpellLength};
+use crate::{Evidence, Health, ShedRate, SpellLength};
 
 /// Time that a connection failure keeps a backend server last in line on this VM.
 const UNREACHABLE: Duration = Duration::from_millis(1500);
@@ -106,8 +106,10 @@
     pub seen: Uptime,
     /// When this VM last sent it a request.
     pub used: Option<Uptime>,
-    /// When it refused a request unrun.
-    pub shed: Option<Uptime>,
+    /// When it last refused a request unrun because it was full.
+    pub full: Option<Uptime>,
+    /// How often it refuses requests unrun although it has room.
+    pub sheds: ShedRate,
 }
 
 impl BackendState {
@@ -121,7 +123,8 @@
             others: (0, Uptime::ZERO),
             seen: now,
             used: None,
-            shed: None,
+            full: None,
+            sheds: ShedRate::default(),
         }
     }
 
--- a/components/dispatch/src/health.rs
+++ b/components/dispatch/src/health.rs
@@ -38,8 +38,6 @@
     Broken,
     /// The request has been unanswered for several times its usual time.
     Overdue,
-    /// The backend server refused the request unrun.
-    Shed,
 }
 
 impl Evidence {
@@ -51,8 +49,6 @@
             // Lost answers and cut ways break requests at sound backend servers too.
             Evidence::Broken => (0.03, 0.5),
             Evidence::Overdue => (0.04, 0.4),
-            // A full backend server sheds without being gray.
-            Evidence::Shed => (0.2, 0.5),
         }
     }
 }
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -1,7 +1,12 @@
+use std::time::Duration;
+
 use kernel::Uptime;
 
 use crate::{BackendKey, BackendState, SpellLength};
 
+/// Time for which a backend server that said it was full gets nothing.
+const FULL: Duration = Duration::from_millis(150);
+
 /// How far a backend server is from this VM.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Distance {
@@ -26,6 +31,9 @@
     pub relay_trip: f64,
     /// Part of a failure's cost that is left when the request may be sent once more.
     pub retried: f64,
+    /// Part of a failure's cost that a refusal of the backend server has: the request can be sent
+    /// once more, while the budget lasts.
+    pub shed: f64,
     /// Slowdown of a backend server right after its start.
     pub cold_factor: f64,
     /// Time without work after which a backend server is tried while its service fails, in
@@ -44,6 +52,8 @@
             relay_trip: 0.01,
             // A repeat costs a slot elsewhere and time.
             retried: 0.3,
+            // Between a repeat and a failure: half of the repeats find no budget while all shed.
+            shed: 0.5,
             // The platform's backend servers take about twice as long while cold.
             cold_factor: 2.0,
             // Well inside the 2 s in which most backend servers of a failing service must have
@@ -179,13 +189,14 @@
         && is_starved(now, state, options);
     let starved = if tries { 1.0 } else { 0.0 };
     let load_cost = 0.02 * load * load;
-    request.worth * (failure * retried + 0.25 * late * late + load_cost - starved) + transfer
+    let shed = state.sheds.get(now) * options.shed;
+    request.worth * (failure * retried + shed + 0.25 * late * late + load_cost - starved) + transfer
 }
 
 /// Whether a backend server has room for one more request.
 fn has_room(now: Uptime, state: &BackendState) -> bool {
-    let shed = state.shed.is_some_and(|at| now.saturating_sub(at).as_millis() < 150);
-    state.load(now) < state.entry.slots && !shed
+    let full = state.full.is_some_and(|at| now.saturating_sub(at) < FULL);
+    state.load(now) < state.entry.slots && !full
 }
 
 /// Places a request: the backend server with room whose expected loss is least.
--- a/components/dispatch/tests/health.rs
+++ b/components/dispatch/tests/health.rs
@@ -69,13 +69,7 @@
 #[test]
 fn a_belief_is_a_probability_whatever_comes() {
     fn holds(steps: Vec<(u8, u16)>) -> bool {
-        let kinds = [
-            Evidence::Success,
-            Evidence::Failure,
-            Evidence::Broken,
-            Evidence::Overdue,
-            Evidence::Shed,
-        ];
+        let kinds = [Evidence::Success, Evidence::Failure, Evidence::Broken, Evidence::Overdue];
         let mut length = SpellLength::default();
         let mut health = Health::new(Duration::ZERO);
         let mut now = Duration::ZERO;
--- a/components/dispatch/tests/placement.rs
+++ b/components/dispatch/tests/placement.rs
@@ -172,3 +172,30 @@
     assert_eq!((came.len(), gone.len()), (1, 1));
     assert!(backends.gray(NOW, came[0]) < 0.5);
 }
+
+// On scale-1 of the grown sites every backend server of a service refused half of its work unrun:
+// each counted as gray, and the work went to the other region, where it was the same.
+#[test]
+fn work_stays_at_home_while_every_backend_server_sheds() {
+    let (mut backends, keys) = backends(&["far", "far", "own", "own"]);
+    for key in &keys {
+        let Some(state) = backends.get_mut(*key) else { continue };
+        for answer in 0..20 {
+            state.sheds.observe(NOW, answer % 2 == 0);
+        }
+    }
+    let Choice::Send(key) = choose(&backends, &request(&[])) else { panic!("no choice") };
+    assert!(keys[2..].contains(&key));
+}
+
+#[test]
+fn a_single_backend_server_that_sheds_gets_less_than_the_others() {
+    let (mut backends, keys) = backends(&["own", "own"]);
+    if let Some(state) = backends.get_mut(keys[0]) {
+        (0..4).for_each(|_| state.sheds.observe(NOW, true));
+    }
+    if let Some(state) = backends.get_mut(keys[1]) {
+        state.busy = 1;
+    }
+    assert_eq!(choose(&backends, &request(&[])), Choice::Send(keys[1]));
+}
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -92,15 +92,15 @@
         self.took.observe(took.as_secs_f64());
     }
 
-    /// Counts an attempt; without evidence it was never sent.
-    pub fn attempted(&self, evidence: Option<Evidence>, took: Duration) {
+    /// Counts an attempt. Without evidence it was refused unrun, or never sent.
+    pub fn attempted(&self, evidence: Option<Evidence>, shed: bool, took: Duration) {
         let evidence = match evidence {
+            None if shed => "shed",
             None => "unsent",
             Some(Evidence::Success) => "success",
             Some(Evidence::Failure) => "failure",
             Some(Evidence::Broken) => "broken",
             Some(Evidence::Overdue) => "overdue",
-            Some(Evidence::Shed) => "shed",
         };
         self.attempts.get_or_create(&EvidenceLabels { evidence }).inc();
         self.attempt_took.observe(took.as_secs_f64());
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -358,18 +358,18 @@
     crate::bus::notify_homes(node, &Datagram::Crash { fingerprint: job.fingerprint, deaths }).await;
 }
 
-fn evidence(answer: &Answer) -> Evidence {
+/// What an answer says about the health of its backend server; nothing if it refused the request
+/// unrun.
+fn evidence(answer: &Answer) -> Option<Evidence> {
     if answer.head.not_run {
-        let full = answer.head.load.is_none_or(|load| load.waiting > 0);
-        // A backend server with free slots that refuses work is gray, not full.
-        return if full { Evidence::Shed } else { Evidence::Failure };
+        return None;
     }
-    match answer.status.as_u16() {
+    Some(match answer.status.as_u16() {
         // Its deadline passed at the backend server.
         504 => Evidence::Overdue,
         500..=599 => Evidence::Failure,
         _ => Evidence::Success,
-    }
+    })
 }
 
 /// Records the evidence of an attempt about its backend server.
@@ -399,12 +399,16 @@
                 if let Some(load) = answer.head.load {
                     backend.report(now, load.running, load.waiting);
                 }
-                if answer.head.not_run {
-                    backend.shed = Some(now);
+                // Without a load report a refusal is taken to come from a full backend server.
+                let full = answer.head.load.is_none_or(|load| load.waiting > 0);
+                if answer.head.not_run && full {
+                    backend.full = Some(now);
+                } else {
+                    backend.sheds.observe(now, answer.head.not_run);
                 }
             }
             let seen = evidence(answer);
-            if seen == Evidence::Success {
+            if seen == Some(Evidence::Success) {
                 state.crashes.survived(job.fingerprint);
                 let usual = state.usual.entry(job.route.id.clone()).or_default();
                 let ratio = took.as_secs_f64() / usual.time.max(0.001);
@@ -413,7 +417,7 @@
                     backend.health.observe_time(now, ratio);
                 }
             }
-            (Some(seen), answer.status.as_str().to_owned())
+            (seen, answer.status.as_str().to_owned())
         }
         Ended::Unsent(cause) => {
             if let Some(backend) = state.backends.get_mut(key) {
@@ -428,7 +432,8 @@
     if let Some(seen) = seen {
         state.observe(now, key, seen);
     }
-    node.metrics.attempted(seen, took);
+    let shed = matches!(ended, Ended::Answered(answer) if answer.head.not_run);
+    node.metrics.attempted(seen, shed, took);
     if seen == Some(Evidence::Success) {
         return;
     }
