--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -29,5 +29,5 @@
     BeatMessage, Datagram, DatagramError, DemandPart, EvidencePart, decode, encode,
 };
 pub use listing::Listing;
-pub use options::Options;
+pub use options::{OPTIONS, OptionInfo, Options, options_table};
 pub use run::run;
--- a/src/bin/papayareel-gateway.rs
+++ b/src/bin/papayareel-gateway.rs
@@ -9,6 +9,10 @@
 /// One VM of the papayareel fleet on the platform.
 #[derive(FromArgs)]
 struct Args {
+    /// JSON file with timings of the gateway; defaults without it
+    #[argh(option)]
+    settings: Option<PathBuf>,
+
     /// check the settings files and exit
     #[argh(switch)]
     check: bool,
@@ -23,13 +27,17 @@
 }
 
 fn run(args: Args) -> anyhow::Result<()> {
+    let options = match &args.settings {
+        Some(path) => Options::read(path)?,
+        None => Options::default(),
+    };
     if args.check {
         let path = args.boot.unwrap_or_else(adapter::boot_path);
         adapter::read_boot(&path)?;
         println!("{} is valid", path.display());
         return Ok(());
     }
-    gateway::run(args.boot, Options::default(), args.seed)
+    gateway::run(args.boot, options, args.seed)
 }
 
 fn main() -> ExitCode {
