Follow a request through log lines, and test a log that nobody reads

Cause: on-call engineers had to search the lines of a request by hand, and that a full pipe delays no request had no test. Measured by tests: 600 refusals into a pipe that nobody reads, then a request within 1 s and an end within the grace period.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -51,6 +51,7 @@
     Apply(cmd::apply::Args),
     Status(cmd::status::Args),
     Explain(cmd::explain::Args),
+    Trace(cmd::trace::Args),
 }
 
 /// Runs the command of this process.
@@ -83,8 +84,13 @@
 }
 
 async fn dispatch(args: Args) -> anyhow::Result<ExitCode> {
+    // It reads log lines and needs no VM to ask.
+    if let Command::Trace(args) = args.command {
+        return cmd::trace::run(args);
+    }
     let mut session = Session::open(&args)?;
     match args.command {
+        Command::Trace(args) => cmd::trace::run(args),
         Command::Organisation(args) => cmd::organisation::run(&mut session, args).await,
         Command::Service(args) => cmd::service::run(&mut session, args).await,
         Command::Route(args) => cmd::route::run(&mut session, args).await,
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -9,6 +9,7 @@
 mod session;
 pub mod status;
 mod table;
+pub mod trace;
 mod wait;
 
 pub use session::{Session, UsageError};
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -264,3 +264,25 @@
     assert!(!fleet.log(0).contains(KEY), "a key is in the log");
     Ok(())
 }
+
+#[tokio::test]
+async fn a_log_that_nobody_reads_delays_no_request() -> anyhow::Result<()> {
+    let mut fleet = fleet().await?;
+    fleet.configure(&[KEY]);
+    let target = fleet.target(1, "a1", WORK).await?;
+    fleet.start_unread(0, "a1")?;
+    let home = fleet.wait_ready(0, "a1").await?;
+    // Each refusal is a line of 200 bytes or more; a pipe holds 64 KB.
+    for number in 0..600 {
+        let id = format!("refused-{number}");
+        let reply = request(home, Method::GET, "/read/", &id, "wrong").await?;
+        assert_eq!(reply.status.as_u16(), 401);
+    }
+    let start = std::time::Instant::now();
+    let reply = request(home, Method::GET, "/read/", "id-1", KEY).await?;
+    assert_eq!((reply.status.as_u16(), target.runs()), (200, 1));
+    assert!(start.elapsed() < Duration::from_secs(1), "it took {:?}", start.elapsed());
+    fleet.vms[0].signal("TERM")?;
+    assert!(fleet.vms[0].wait(Duration::from_secs(6)).await?, "it ended with an error");
+    Ok(())
+}
--- a/tools/harness/src/gateway.rs
+++ b/tools/harness/src/gateway.rs
@@ -96,8 +96,7 @@
 
     /// Starts a VM; `vm` numbers its address.
     pub fn start(&mut self, vm: u8, domain: &str) -> anyhow::Result<usize> {
-        let path = self.folder.join(format!("vm-{vm}.json"));
-        std::fs::write(&path, self.settings(vm, domain).to_string())?;
+        let path = self.write_settings(vm, domain)?;
         let log = self.folder.join(format!("vm-{vm}.log"));
         let process =
             Process::start("gateway", std::slice::from_ref(&self.program), &[path.into()], &log)?;
@@ -105,6 +104,20 @@
         Ok(self.vms.len() - 1)
     }
 
+    /// Starts a VM whose log nobody reads.
+    pub fn start_unread(&mut self, vm: u8, domain: &str) -> anyhow::Result<usize> {
+        let path = self.write_settings(vm, domain)?;
+        let program = std::slice::from_ref(&self.program);
+        self.vms.push(Process::start_unread("gateway", program, &[path.into()])?);
+        Ok(self.vms.len() - 1)
+    }
+
+    fn write_settings(&self, vm: u8, domain: &str) -> anyhow::Result<PathBuf> {
+        let path = self.folder.join(format!("vm-{vm}.json"));
+        std::fs::write(&path, self.settings(vm, domain).to_string())?;
+        Ok(path)
+    }
+
     /// Log of a VM.
     pub fn log(&self, vm: u8) -> String {
         std::fs::read_to_string(self.folder.join(format!("vm-{vm}.log"))).unwrap_or_default()
--- a/tools/harness/src/process.rs
+++ b/tools/harness/src/process.rs
@@ -19,15 +19,35 @@
         args: &[OsString],
         log: &Path,
     ) -> anyhow::Result<Self> {
-        let (first, rest) = program.split_first().context("no program is given")?;
         let file = std::fs::File::create(log)
             .with_context(|| format!("cannot write {}", log.display()))?;
+        let out = file.try_clone().context("cannot share the log file")?;
+        Self::spawn(name, program, args, out.into(), file.into())
+    }
+
+    /// Starts a program whose standard output is a pipe that nobody reads.
+    pub fn start_unread(
+        name: &str,
+        program: &[OsString],
+        args: &[OsString],
+    ) -> anyhow::Result<Self> {
+        Self::spawn(name, program, args, Stdio::piped(), Stdio::null())
+    }
+
+    fn spawn(
+        name: &str,
+        program: &[OsString],
+        args: &[OsString],
+        out: Stdio,
+        err: Stdio,
+    ) -> anyhow::Result<Self> {
+        let (first, rest) = program.split_first().context("no program is given")?;
         let child = Command::new(first)
             .args(rest)
             .args(args)
             .stdin(Stdio::null())
-            .stdout(file.try_clone().context("cannot share the log file")?)
-            .stderr(file)
+            .stdout(out)
+            .stderr(err)
             .spawn()
             .with_context(|| format!("cannot start {name}; build {}", first.display()))?;
         Ok(Process { child, name: name.to_owned() })
