Drop the old entry of a VM that started again, and pass attempts whole

Cause: the linter found that the renaming of messages had let a closure's argument shadow the heartbeat (bus.rs), so that a VM that started again stayed known by its old incarnation too, and got each message twice. Change: the argument has a name of its own; learn takes the attempt in place of eight arguments. Measured: clippy and the tests with processes pass.

--- a/components/gateway/src/bus.rs
+++ b/components/gateway/src/bus.rs
@@ -78,10 +78,10 @@
 
 /// Tells the VMs of this failure domain.
 pub async fn notify_domain(node: &Node, datagram: &Datagram) {
-    let local_vms: Vec<SocketAddr> =
+    let addresses: Vec<SocketAddr> =
         node.state().local_vms.values().map(|beat| beat.peers).collect();
-    for beat in local_vms {
-        send(node, beat, datagram).await;
+    for address in addresses {
+        send(node, address, datagram).await;
     }
 }
 
@@ -188,7 +188,7 @@
 fn handle_beat(node: &Node, now: Uptime, beat: &BeatMessage) {
     let mut state = node.state();
     // A VM that started again has a new incarnation at the same address.
-    state.local_vms.retain(|vm, beat| *vm == beat.vm || beat.peers != beat.peers);
+    state.local_vms.retain(|vm, known| *vm == beat.vm || known.peers != beat.peers);
     let known = state.local_vms.insert(beat.vm, beat.clone()).is_some();
     let seen = now.saturating_sub(Duration::from_millis(beat.confirmed_ms));
     state.store_seen = state.store_seen.max(Some(seen));
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -62,6 +62,8 @@
 struct Attempt {
     key: BackendKey,
     backend: BackendId,
+    /// VM through which it was sent; none if it was sent directly.
+    via: Option<Incarnation>,
     ended: Ended,
 }
 
@@ -279,7 +281,7 @@
     };
     let Some((entry, via)) = target else {
         let ended = Ended::Unsent("the backend server has left".into());
-        return Attempt { key, backend: "".into(), ended };
+        return Attempt { key, backend: "".into(), via: None, ended };
     };
     let now = node.now();
     let left = job.until.saturating_sub(now);
@@ -290,7 +292,6 @@
         &entry.id,
         left,
     );
-    let bytes = outgoing.body.len();
     let mut sent = pin!(transmit(node, key, &entry, via, outgoing));
     let ended = tokio::select! {
         ended = &mut sent => ended,
@@ -307,18 +308,20 @@
         }
     };
     let took = node.now().saturating_sub(now);
-    learn(node, job, key, &entry.id, via, &ended, took, bytes);
-    if matches!(ended, Ended::Unsent(_)) {
+    let attempt = Attempt { key, backend: entry.id.clone(), via, ended };
+    learn(node, job, &attempt, took);
+    if matches!(attempt.ended, Ended::Unsent(_)) {
         relay::maintain(node);
     }
-    if let Ended::Broken(_) = &ended
+    // A check of the direct way says nothing about a relayed one.
+    if matches!(attempt.ended, Ended::Broken(_))
         && via.is_none()
         && !is_alive(entry.address, ALIVE_CHECK).await
     {
         died(node, job, key, &entry.id).await;
     }
     drop(slot);
-    Attempt { key, backend: entry.id.clone(), ended }
+    attempt
 }
 
 /// Sends a request to a backend server, through another VM if this one cannot connect to it.
@@ -373,16 +376,9 @@
 }
 
 /// Records the evidence of an attempt about its backend server.
-fn learn(
-    node: &Node,
-    job: &Job,
-    key: BackendKey,
-    backend: &str,
-    via: Option<Incarnation>,
-    ended: &Ended,
-    took: Duration,
-    sent: usize,
-) {
+fn learn(node: &Node, job: &Job, attempt: &Attempt, took: Duration) {
+    let Attempt { key, via, backend, ended } = attempt;
+    let (key, via) = (*key, *via);
     let now = node.now();
     let mut state = node.state();
     let (seen, cause) = match ended {
@@ -412,7 +408,7 @@
                 state.crashes.survived(job.fingerprint);
                 let usual = state.usual.entry(job.route.id.clone()).or_default();
                 let ratio = took.as_secs_f64() / usual.time.max(0.001);
-                usual.sample(took, sent + answer.body.len());
+                usual.sample(took, job.outgoing.body.len() + answer.body.len());
                 if let Some(backend) = state.backends.get_mut(key) {
                     backend.health.observe_time(now, ratio);
                 }
