Tell the own failure domain of a request that kills backend servers

Cause: a new test with processes, which sends such a request again to another VM of the failure domain each time, found three deaths in place of two: only homes were notified, and a standby that a caller came to had its own count. Change: the VMs of the failure domain are notified too; deaths are rare. Test: a_request_that_kills_backend_servers_is_refused_after_two failed with 3 (and with 4 while the stand-in closed its listener after its connection, which a process that dies does not). Two more tests with processes for what had none: cancellation after a caller has gone, and an address that another backend server has. Measured: tests only.

--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -8,6 +8,7 @@
 use tokio::time::sleep;
 
 use crate::answer::{CallerAnswer, pass_on};
+use crate::bus;
 use crate::datagram::Datagram;
 use crate::exchange::{Answer, Ended, Outgoing, exchange, is_alive};
 use crate::node::Node;
@@ -358,7 +359,10 @@
         backend = backend,
         deaths = deaths,
     );
-    crate::bus::notify_homes(node, &Datagram::Crash { fingerprint: job.fingerprint, deaths }).await;
+    // Deaths are rare, and the caller may come again to any VM.
+    let crash = Datagram::Crash { fingerprint: job.fingerprint, deaths };
+    bus::notify_homes(node, &crash).await;
+    bus::notify_domain(node, &crash).await;
 }
 
 /// What an answer says about the health of its backend server; nothing if it refused the request
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -5,7 +5,7 @@
 use harness::{GATEWAY_KEY as KEY, GatewayFleet, gateway_request as request, within};
 use http::Method;
 use standins::store::Mood;
-use standins::target::Manner;
+use standins::target::{Manner, Target};
 
 /// Time in which a change of the configuration must be in force.
 const IN_FORCE: Duration = Duration::from_millis(2500);
@@ -286,3 +286,65 @@
     assert!(fleet.vms[0].wait(Duration::from_secs(6)).await?, "it ended with an error");
     Ok(())
 }
+
+#[tokio::test]
+async fn a_request_whose_caller_has_gone_is_cancelled_at_its_backend_server() -> anyhow::Result<()>
+{
+    let mut fleet = fleet().await?;
+    fleet.configure(&[KEY]);
+    let target = fleet.target(1, "a1", WORK).await?;
+    target.set_manner(Manner::Hanging);
+    fleet.start(0, "a1")?;
+    let home = fleet.wait_ready(0, "a1").await?;
+    let caller = tokio::spawn(request(home, Method::GET, "/read/", "id-1", KEY));
+    let begun = || async { target.at_work() == 1 };
+    assert!(within(Duration::from_secs(2), begun).await);
+    caller.abort();
+    let ended = || async { target.at_work() == 0 };
+    assert!(within(Duration::from_millis(500), ended).await, "it still works on the request");
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_request_never_runs_at_an_address_that_another_backend_server_has() -> anyhow::Result<()>
+{
+    let mut fleet = fleet().await?;
+    fleet.configure(&[KEY]);
+    let other = Target::serve(fleet.listener(1).await?, "i-9", WORK)?;
+    fleet.list(1, "a1", other.address(), "ready");
+    let sound = fleet.target(2, "a1", WORK).await?;
+    fleet.start(0, "a1")?;
+    let home = fleet.wait_ready(0, "a1").await?;
+    for number in 0..10 {
+        let id = format!("id-{number}");
+        let reply = request(home, Method::POST, "/write/", &id, KEY).await?;
+        assert_eq!(reply.status.as_u16(), 200);
+    }
+    assert_eq!((other.runs(), sound.runs()), (0, 10));
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_request_that_kills_backend_servers_is_refused_after_two() -> anyhow::Result<()> {
+    let mut fleet = fleet().await?;
+    fleet.configure(&[KEY]);
+    let mut targets = Vec::new();
+    for number in 1..=5 {
+        targets.push(fleet.target(number, "a1", WORK).await?);
+    }
+    targets.iter().for_each(|target| target.set_manner(Manner::Dying));
+    fleet.start(0, "a1")?;
+    fleet.start(1, "a1")?;
+    fleet.wait_ready(1, "a1").await?;
+    fleet.wait_ready(0, "a1").await?;
+    for number in 0..6 {
+        let address = fleet.callers(number % 2);
+        let reply = request(address, Method::POST, "/write/", &format!("id-{number}"), KEY).await?;
+        assert!(!reply.status.is_success());
+        // The other VM is told by a datagram.
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    let dead = targets.iter().filter(|target| target.runs() > 0).count();
+    assert!((1..=2).contains(&dead), "{dead} backend servers died");
+    Ok(())
+}
--- a/tools/standins/src/target.rs
+++ b/tools/standins/src/target.rs
@@ -12,10 +12,14 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
 use crate::door::lock;
 
+/// Time in which a dying backend server closes its listener.
+const CLOSING: Duration = Duration::from_millis(20);
+
 /// How a backend server treats requests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Manner {
@@ -34,6 +38,8 @@
     Crossed,
     /// Answers with success and without its signature.
     Unsigned,
+    /// Dies when it begins to run a request: breaks the connection and accepts no other.
+    Dying,
 }
 
 /// What a backend server saw.
@@ -50,6 +56,26 @@
     manner: Manner,
     work: Duration,
     seen: SeenRequests,
+    /// Requests that it works on.
+    at_work: u32,
+    /// Set when it has died.
+    dead: Arc<Notify>,
+}
+
+/// A request that a backend server works on, until this is dropped.
+struct AtWork(Arc<Mutex<Inner>>);
+
+impl AtWork {
+    fn begin(inner: &Arc<Mutex<Inner>>) -> AtWork {
+        lock(inner).at_work += 1;
+        AtWork(Arc::clone(inner))
+    }
+}
+
+impl Drop for AtWork {
+    fn drop(&mut self) {
+        lock(&self.0).at_work -= 1;
+    }
 }
 
 /// A running backend server. It stops when this handle is dropped.
@@ -71,8 +97,16 @@
         let address = listener.local_addr()?;
         let inner = Arc::new(Mutex::new(Inner { work, ..Inner::default() }));
         let (shared, id): (_, Arc<str>) = (Arc::clone(&inner), id.into());
+        let dead = Arc::clone(&lock(&inner).dead);
         let task = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            loop {
+                let stream = tokio::select! {
+                    accepted = listener.accept() => match accepted {
+                        Ok((stream, _)) => stream,
+                        Err(_) => return,
+                    },
+                    () = dead.notified() => return,
+                };
                 let (shared, id) = (Arc::clone(&shared), Arc::clone(&id));
                 let service = service_fn(move |request| {
                     let (shared, id) = (Arc::clone(&shared), Arc::clone(&id));
@@ -103,6 +137,11 @@
         lock(&self.inner).seen.clone()
     }
 
+    /// Requests that it works on now.
+    pub fn at_work(&self) -> u32 {
+        lock(&self.inner).at_work
+    }
+
     /// Requests that it ran.
     pub fn runs(&self) -> u32 {
         lock(&self.inner).seen.runs.values().sum()
@@ -129,7 +168,7 @@
 }
 
 async fn answer(
-    inner: &Mutex<Inner>,
+    inner: &Arc<Mutex<Inner>>,
     id: &str,
     request: Request<Incoming>,
 ) -> Result<Answer, io::Error> {
@@ -156,12 +195,19 @@
     let path = request.uri().to_string();
     let body = request.into_body().collect().await.map(|b| b.to_bytes()).unwrap_or_default();
     *lock(inner).seen.runs.entry(request_id.clone()).or_default() += 1;
+    let _at_work = AtWork::begin(inner);
     let signature = format!("{id}.{}", body.len());
     let signed = ("response-signature", signature.as_str());
     match manner {
         Manner::Gray => Ok(reply(StatusCode::INTERNAL_SERVER_ERROR, &[echo, signed], "gray")),
         Manner::Losing => Err(io::Error::from(io::ErrorKind::ConnectionReset)),
         Manner::Hanging => std::future::pending().await,
+        Manner::Dying => {
+            lock(inner).dead.notify_one();
+            // A process that dies closes its listener no later than its connections.
+            tokio::time::sleep(CLOSING).await;
+            Err(io::Error::from(io::ErrorKind::ConnectionReset))
+        }
         Manner::Crossed => {
             let crossed = ("request-id", "another");
             Ok(reply(StatusCode::OK, &[crossed, signed], "crossed"))
