Let parts of a rate follow demand that the other VMs know of

Each request of the organisation was printed in a trial: 151 were admitted in the first second of a step to 7.5 times the usual, by six homes and some standbys. Each VM knew its own demand at once and that of the others up to 150 ms later, and not at all below a tenth of the rate, so that the parts summed up to more than two. Without any trouble a model of six VMs gives 390 of 376 allowed. Change: a VM's own demand counts up to 1.25 times what it has reported last, and up to 1 in 100 of the rate unreported; demands from 3 in 100 of the rate on are reported. Test: a_step_of_demand_over_six_vms_stays_within_the_bound, 390 of 376 without the change.

--- a/components/dispatch/src/quota.rs
+++ b/components/dispatch/src/quota.rs
@@ -23,8 +23,12 @@
 /// Demand that each VM is taken to have besides, as a part of the rate: without any, every VM would
 /// own the whole burst.
 const PRIOR: f64 = 0.1;
+/// Ratio by which a VM's demand counts above what the others know of it.
+const GROWTH: f64 = 1.25;
+/// Part of the rate up to which a VM's demand counts although the others do not know of it.
+const UNREPORTED: f64 = 0.01;
 /// Part of its rate from which an organisation's demand is reported at all.
-const REPORTED: f64 = 0.1;
+const REPORTED: f64 = 0.03;
 /// Part of its rate from which an organisation's demand is reported often.
 const PRESSING: f64 = 0.22;
 
@@ -46,6 +50,8 @@
     at: Uptime,
     /// Requests asked for a second, over `DEMAND`.
     demand: f64,
+    /// Demand that the other VMs know of; 0 if it was too small to report.
+    reported: f64,
     asked: Uptime,
 }
 
@@ -103,7 +109,15 @@
                     let tokens = START * rate.burst / self.servers;
                     let most = START_SLACK * slack / self.servers;
                     let reserve = (START_LEAST - tokens).clamp(0.0, most);
-                    Account { rate, tokens, reserve, at: now, demand: 0.0, asked: now }
+                    Account {
+                        rate,
+                        tokens,
+                        reserve,
+                        at: now,
+                        demand: 0.0,
+                        reported: 0.0,
+                        asked: now,
+                    }
                 }
                 None => Account {
                     rate,
@@ -111,6 +125,7 @@
                     reserve: 0.0,
                     at: now,
                     demand: 0.0,
+                    reported: 0.0,
                     asked: now,
                 },
             };
@@ -142,7 +157,10 @@
             return QuotaVerdict::Admitted;
         };
         let demand = account.demand(now) + 1.0 / DEMAND.as_secs_f64();
-        let part = self.part(now, id, account.rate.per_second, demand);
+        // With the newest demand of its own only, all parts would grow at once in a step of demand.
+        let known = account.reported * GROWTH;
+        let own = demand.min(known.max(UNREPORTED * account.rate.per_second));
+        let part = self.part(now, id, account.rate.per_second, own);
         let Some(account) = self.accounts.get_mut(id) else {
             return QuotaVerdict::Admitted;
         };
@@ -176,13 +194,19 @@
         }
     }
 
-    /// Demands of this VM to report: organisations that ask for a tenth of their rate or more.
-    pub fn demands(&self, now: Uptime) -> Vec<(u32, f64)> {
-        let demands = self.accounts.iter().map(|(id, a)| (short_hash(id), a.demand(now), a));
+    /// Demands of this VM to report: organisations with a demand that counts. Parts
+    /// follow these from now on.
+    pub fn demands(&mut self, now: Uptime) -> Vec<(u32, f64)> {
+        let mut demands = Vec::new();
+        for (id, account) in &mut self.accounts {
+            let demand = account.demand(now);
+            let pressing = demand >= REPORTED * account.rate.per_second;
+            account.reported = if pressing { demand } else { 0.0 };
+            if pressing {
+                demands.push((short_hash(id), demand));
+            }
+        }
         demands
-            .filter(|(_, demand, a)| *demand >= REPORTED * a.rate.per_second)
-            .map(|(hash, demand, _)| (hash, demand))
-            .collect()
     }
 
     /// Whether an organisation asks for so much that its demand has to be reported often.
--- a/components/dispatch/tests/quota.rs
+++ b/components/dispatch/tests/quota.rs
@@ -31,12 +31,13 @@
 /// Plays requests a second over time and VMs; returns the times of those admitted and the number
 /// refused. Reports go out every 200 ms and arrive 30 ms later; one in `lost` does not.
 fn play(
+    count: usize,
     length: Duration,
     lost: u64,
     demand: impl Fn(Duration, usize) -> f64,
 ) -> (Vec<Duration>, u32) {
     const STEP: Duration = Duration::from_millis(10);
-    let mut vms = fleet(4);
+    let mut vms = fleet(count);
     let mut owed = vec![0.0; vms.len()];
     let mut admitted = Vec::new();
     let mut refused = 0;
@@ -96,16 +97,29 @@
 fn a_step_of_demand_stays_within_the_bound() {
     for lost in [5, 1_000_000] {
         let step = |at: Duration, _| if at > Duration::from_secs(2) { 7.5 * USUAL } else { USUAL };
-        let (admitted, _) = play(Duration::from_secs(14), lost, step);
+        let (admitted, _) = play(4, Duration::from_secs(14), lost, step);
         let most = most_in_window(&admitted);
         assert!(most as f64 <= bound(), "{most} admitted, {} allowed, one in {lost} lost", bound());
     }
 }
 
+// On papayareel-dakar-grown, with six failure domains, 151 were admitted in the first second of a step:
+// each VM knew its own demand before that of the others, and all parts grew at once.
+#[test]
+fn a_step_of_demand_over_six_vms_stays_within_the_bound() {
+    for before in [1.0, 0.5, 0.1] {
+        let usual = USUAL * 4.0 / 6.0;
+        let step = |at: Duration, _| usual * if at > Duration::from_secs(2) { 7.5 } else { before };
+        let (admitted, _) = play(6, Duration::from_secs(14), 1_000_000, step);
+        let most = most_in_window(&admitted);
+        assert!(most as f64 <= bound(), "{most} admitted, {} allowed, {before} before", bound());
+    }
+}
+
 #[test]
 fn skewed_demand_within_the_rate_is_not_refused() {
     let skewed = |_, vm| if vm == 0 { 40.0 } else { 3.0 };
-    let (admitted, refused) = play(Duration::from_secs(20), 1_000_000, skewed);
+    let (admitted, refused) = play(4, Duration::from_secs(20), 1_000_000, skewed);
     let total = admitted.len() as u32 + refused;
     assert!(refused * 100 <= total, "{refused} of {total} refused within the rate");
 }
