Send changes of the list of backend servers between VMs, not the whole list

At each change of the list every standby of a failure domain pulled the whole list from its home, which filled the home's link; configurations waited behind. Change: each VM keeps the versions at which entries changed (dispatch/change_log.rs) and sends what changed since the version that is named, with a checksum of the whole list; if that does not fit, the whole list is taken (event 941).

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 mod backends;
 mod budget;
 mod catalogue;
+mod change_log;
 mod crashes;
 mod duty;
 mod election;
@@ -25,6 +26,7 @@
     CallerLimits, Catalogue, CatalogueFault, CatalogueParts, Denied, GatewayOrganisation,
     GatewayRoute, GatewayService, OrganisationIndex, RouteIndex, ServiceWeight,
 };
+pub use change_log::ChangeLog;
 pub use crashes::{CrashSuspects, MAX_DEATHS};
 pub use duty::Watcher;
 pub use election::{Claim, Election, PeerBeat, Role};
--- a/components/gateway/src/knowledge.rs
+++ b/components/gateway/src/knowledge.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use adapter::{RawRow, decode_backend, decode_configuration};
-use dispatch::{BackendEntry, RetryAllowance};
+use dispatch::{BackendEntry, ChangeLog, RetryAllowance, short_hash};
 use kernel::prelude::*;
 
 use crate::node::Node;
@@ -17,8 +17,12 @@
     pub version: Version,
     /// Usable entries of backend servers.
     pub rows: BTreeMap<Box<str>, RawRow>,
-    /// Store version up to which `rows` is known; 0 is never.
+    /// Version of `rows`; 0 is never.
     pub backends: u64,
+    /// What changed in `rows` at which version.
+    pub changes: ChangeLog,
+    /// Checksum of `rows`; see [`checksum`].
+    pub checksum: u64,
     /// When the store last confirmed the configuration, itself or through another VM.
     pub configuration_at: Option<Uptime>,
     /// When the store last confirmed the backend servers, itself or through another VM.
@@ -93,9 +97,41 @@
     entries
 }
 
+/// Checksum of what matters of a list of backend servers, the same on every VM that has the list.
+pub fn checksum(entries: &BTreeMap<BackendId, BackendEntry>) -> u64 {
+    let one = |entry: &BackendEntry| {
+        let BackendEntry { id, born, service, address, draining, .. } = entry;
+        u64::from(short_hash(&format!("{id} {born} {service} {address} {draining}")))
+    };
+    entries.values().map(one).fold(0, u64::wrapping_add)
+}
+
+/// Usable entries among rows, and their checksum.
+pub fn checked(rows: &BTreeMap<Box<str>, RawRow>) -> (BTreeMap<BackendId, BackendEntry>, u64) {
+    let entries = usable(rows);
+    let sum = checksum(&entries);
+    (entries, sum)
+}
+
+/// Ids of the backend servers that two lists do not agree on; time after a start does not count.
+fn changed_ids(
+    before: &BTreeMap<BackendId, BackendEntry>,
+    after: &BTreeMap<BackendId, BackendEntry>,
+) -> Vec<BackendId> {
+    let same =
+        |a: &BackendEntry, b: &BackendEntry| BackendEntry { warmup: b.warmup, ..a.clone() } == *b;
+    let came = after
+        .iter()
+        .filter(|(id, entry)| !before.get(*id).is_some_and(|old| same(old, entry)))
+        .map(|(id, _)| id.clone());
+    let left = before.keys().filter(|id| !after.contains_key(*id)).cloned();
+    came.chain(left).collect()
+}
+
 /// Takes the rows of all backend servers as of a store version.
 pub fn learn_backends(node: &Node, rows: BTreeMap<Box<str>, RawRow>, version: u64, source: &str) {
-    let entries = usable(&rows);
+    let (entries, sum) = checked(&rows);
+    let changed = changed_ids(&node.state().entries, &entries);
     {
         let mut knowledge = node.knowledge();
         if version < knowledge.backends {
@@ -103,6 +139,8 @@
         }
         knowledge.rows = rows;
         knowledge.backends = version;
+        knowledge.checksum = sum;
+        knowledge.changes.record(version, changed.into_iter());
     }
     let now = node.now();
     let mut state = node.state();
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -10,7 +11,7 @@
 use tarpc::tokio_serde::formats::Json;
 use tokio::net::TcpListener;
 
-use crate::knowledge::{learn_backends, learn_configuration};
+use crate::knowledge::{Knowledge, checked, learn_backends, learn_configuration};
 use crate::node::Node;
 
 /// Longest time for another VM to give what it knows.
@@ -37,11 +38,24 @@
     /// Text of the configuration, if it is newer.
     pub configuration: Option<Box<str>>,
     /// Entries of backend servers, if they are newer.
-    pub rows: Option<Vec<ListedRow>>,
-    /// Store version of the entries.
+    pub rows: Option<ListedRows>,
+    /// Version of the list of backend servers.
     pub backends: u64,
 }
 
+/// Entries of backend servers: the whole list, or what changed since the version that was named.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct ListedRows {
+    /// Whether these are all entries.
+    pub whole: bool,
+    /// Entries.
+    pub rows: Vec<ListedRow>,
+    /// Ids that have left, if these are not all entries.
+    pub removed: Vec<BackendId>,
+    /// Checksum of the whole list.
+    pub checksum: u64,
+}
+
 /// Calls between the VMs of a fleet.
 #[tarpc::service]
 pub trait Sync {
@@ -49,6 +63,32 @@
     async fn knowledge(version: Version, backends: u64) -> KnowledgeReply;
 }
 
+fn listed(row: &RawRow) -> Option<ListedRow> {
+    let value = text(row.value.as_deref()?)?;
+    Some(ListedRow { key: row.key.clone(), value, version: row.version })
+}
+
+/// What a VM that knows the list of a version lacks.
+fn listed_since(knowledge: &Knowledge, version: u64) -> ListedRows {
+    let checksum = knowledge.checksum;
+    match knowledge.changes.since(version) {
+        None => {
+            let rows = knowledge.rows.values().filter_map(listed).collect();
+            ListedRows { whole: true, rows, removed: Vec::new(), checksum }
+        }
+        Some(keys) => {
+            let (mut rows, mut removed) = (Vec::new(), Vec::new());
+            for key in keys {
+                match knowledge.rows.get(key).and_then(listed) {
+                    Some(row) => rows.push(row),
+                    None => removed.push(key.into()),
+                }
+            }
+            ListedRows { whole: false, rows, removed, checksum }
+        }
+    }
+}
+
 #[derive(Clone)]
 struct Server(Arc<Node>);
 
@@ -61,12 +101,7 @@
         let knowledge = self.0.knowledge();
         let newer = knowledge.version > version;
         let configuration = knowledge.configuration.as_deref().filter(|_| newer).and_then(text);
-        let listed = |row: &RawRow| {
-            let value = text(row.value.as_deref()?)?;
-            Some(ListedRow { key: row.key.clone(), value, version: row.version })
-        };
-        let rows = (knowledge.backends > backends)
-            .then(|| knowledge.rows.values().filter_map(listed).collect());
+        let rows = (knowledge.backends > backends).then(|| listed_since(&knowledge, backends));
         KnowledgeReply { configuration, rows, backends: knowledge.backends }
     }
 }
@@ -106,36 +141,70 @@
     Ok(client.knowledge(call, version, backends).await?)
 }
 
+/// Asks another VM for what it knows beyond this one; none if there is no answer.
+async fn ask_in_time(
+    address: SocketAddr,
+    version: Version,
+    backends: u64,
+) -> Option<KnowledgeReply> {
+    let asked = tokio::time::timeout(PULL, ask(address, version, backends)).await;
+    let error = match asked {
+        Ok(Ok(reply)) => return Some(reply),
+        Ok(Err(error)) => error.to_string(),
+        Err(_) => "no answer in time".to_owned(),
+    };
+    telemetry::event!(KNOWLEDGE_UNPULLED, vm = address.to_string(), error = error);
+    None
+}
+
+/// The list that a reply leads to from the one that is known; none if they do not fit together.
+fn merge(
+    known: &BTreeMap<Box<str>, RawRow>,
+    reply: ListedRows,
+) -> Option<BTreeMap<Box<str>, RawRow>> {
+    let mut rows = if reply.whole { BTreeMap::new() } else { known.clone() };
+    for id in &reply.removed {
+        rows.remove(id);
+    }
+    for ListedRow { key, value, version } in reply.rows {
+        let value = Some(value.into_string().into_bytes());
+        rows.insert(key.clone(), RawRow { key, value, version });
+    }
+    (reply.whole || checked(&rows).1 == reply.checksum).then_some(rows)
+}
+
 /// Takes from another VM what it knows beyond this one.
 pub async fn pull(node: Arc<Node>, address: SocketAddr) {
+    let source = address.to_string();
     let (version, backends) = {
         let knowledge = node.knowledge();
         (knowledge.version, knowledge.backends)
     };
-    let asked = tokio::time::timeout(PULL, ask(address, version, backends)).await;
-    let reply = match asked {
-        Ok(Ok(reply)) => reply,
-        Ok(Err(error)) => {
-            let address = address.to_string();
-            telemetry::event!(KNOWLEDGE_UNPULLED, vm = address, error = error.to_string());
-            return;
-        }
-        Err(_) => {
-            let address = address.to_string();
-            telemetry::event!(KNOWLEDGE_UNPULLED, vm = address, error = "no answer in time");
-            return;
-        }
-    };
-    let source = address.to_string();
+    let Some(reply) = ask_in_time(address, version, backends).await else { return };
     if let Some(text) = &reply.configuration {
         learn_configuration(&node, text.as_bytes(), &source);
     }
-    if let Some(rows) = reply.rows {
-        let row = |row: ListedRow| {
-            let value = Some(row.value.into_string().into_bytes());
-            (row.key.clone(), RawRow { key: row.key, value, version: row.version })
+    if let Some(listed) = reply.rows {
+        let merged = {
+            let knowledge = node.knowledge();
+            // Another reply may have come first; the changes then start from an older list.
+            let fits = listed.whole || knowledge.backends == backends;
+            if fits { merge(&knowledge.rows, listed) } else { None }
         };
-        learn_backends(&node, rows.into_iter().map(row).collect(), reply.backends, &source);
+        match merged {
+            Some(rows) => learn_backends(&node, rows, reply.backends, &source),
+            None => pull_whole(&node, address, version).await,
+        }
     }
     telemetry::event!(KNOWLEDGE_PULLED, vm = source, backends = reply.backends);
 }
+
+/// Takes the whole list of backend servers after changes that did not fit the known one.
+async fn pull_whole(node: &Arc<Node>, address: SocketAddr, version: Version) {
+    let source = address.to_string();
+    telemetry::event!(CHANGES_UNFIT, vm = source);
+    let Some(reply) = ask_in_time(address, version, 0).await else { return };
+    if let Some(rows) = reply.rows.and_then(|listed| merge(&BTreeMap::new(), listed)) {
+        learn_backends(node, rows, reply.backends, &source);
+    }
+}
--- a/components/telemetry/src/catalogue.rs
+++ b/components/telemetry/src/catalogue.rs
@@ -188,4 +188,6 @@
         "Check the backend server and its network.";
     RELAY_ENDED = 940, Info, "relay-ended", "This VM can connect to a backend server directly again.",
         "Nothing.";
+    CHANGES_UNFIT = 941, Warn, "changes-unfit", "Changes of the list of backend servers do not fit the list known here; the whole list is taken.",
+        "Nothing, if it is rare.";
 }
