Keep the names of the platform's wire in the stand-ins

Cause: the process tests and their harness spelled headers, paths and entries of the platform themselves. Change: tools/standins/src/wire.rs has them once.

--- a/components/gateway/tests/listing.rs
+++ b/components/gateway/tests/listing.rs
@@ -5,14 +5,13 @@
 
 use adapter::RawRow;
 use gateway::Listing;
+use standins::wire::backend_entry;
 
 const GRACE: Duration = Duration::from_millis(2300);
 
 fn row(key: &str, state: &str, version: u64) -> RawRow {
-    let value = format!(
-        r#"{{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":4,
-            "state":"{state}","cold_remaining_ms":0,"sequence":{version}}}"#
-    );
+    let address = ([10, 0, 0, 1], 80).into();
+    let value = backend_entry("s", address, "a", state, version).to_string();
     RawRow { key: key.into(), value: Some(value.into_bytes()), version }
 }
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,6 +6,7 @@
 use http::Method;
 use standins::store::Mood;
 use standins::target::{Manner, Target};
+use standins::wire::EXPECTED_HEADER;
 
 /// Time in which a change of the configuration must be in force.
 const IN_FORCE: Duration = Duration::from_millis(2500);
@@ -28,7 +29,7 @@
     assert_eq!(reply.header("response-signature"), "i-1.0");
     let headers = target.seen().headers;
     assert_eq!(headers["tenant"], "north");
-    assert_eq!(headers["expected-instance"], "i-1");
+    assert_eq!(headers[EXPECTED_HEADER], "i-1");
     assert!(!headers.contains_key("authorization"));
     let left: u64 = headers["deadline-ms"].parse()?;
     assert!((2000..=3000).contains(&left), "the route allows 3 s, {left} ms were passed on");
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -6,6 +6,7 @@
 use harness::{Caller, GATEWAY_KEY as KEY, GatewayFleet, Reply, gateway_request, within};
 use http::Method;
 use standins::target::{Manner, Target};
+use standins::wire::EXPECTED_HEADER;
 
 const WORK: Duration = Duration::from_millis(30);
 
@@ -20,7 +21,7 @@
         ("host", harness::GATEWAY_HOST),
         ("request-id", "id-1"),
         ("deadline-ms", "2000"),
-        ("expected-instance", backend),
+        (EXPECTED_HEADER, backend),
         ("papayareel-relay-backend", backend),
         ("papayareel-relay-task", task),
     ];
--- a/tools/harness/src/gateway.rs
+++ b/tools/harness/src/gateway.rs
@@ -11,6 +11,7 @@
 use serde_json::{Value, json};
 use standins::store::Store;
 use standins::target::Target;
+use standins::wire;
 use tokio::net::TcpListener;
 
 /// Host of every route.
@@ -137,10 +138,8 @@
 
     /// Writes the entry of a backend server.
     pub fn list(&self, number: u8, domain: &str, address: SocketAddr, state: &str) {
-        let entry = json!({
-            "service": "scripts", "address": address, "zone": domain, "version": "v1",
-            "slots": 4, "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": 5,
-        });
+        let mut entry = wire::backend_entry("scripts", address, domain, state, 1);
+        entry["born"] = json!(5);
         self.store.put("servers", &format!("i-{number}"), &entry);
     }
 
@@ -171,7 +170,7 @@
     /// Asks a VM for addresses as a caller of a failure domain; none if it gives none.
     pub async fn resolve(&self, vm: u8, domain: &str) -> Option<SocketAddr> {
         let address = SocketAddr::new(ip(self.net, 10 + vm), ENTRY);
-        let path = format!("/-/resolve?name={GATEWAY_HOST}&region=north&zone={domain}");
+        let path = format!("{}?name={GATEWAY_HOST}&region=north&zone={domain}", wire::ENTRY_PATH);
         let reply = get(address, &path).await.ok()?;
         reply.json()["addresses"][0].as_str()?.parse().ok()
     }
@@ -179,7 +178,7 @@
     /// Status of the readiness of a VM; none if it does not answer.
     pub async fn readiness(&self, vm: u8) -> Option<u16> {
         let address = SocketAddr::new(ip(self.net, 10 + vm), READY);
-        get(address, "/-/ready").await.ok().map(|reply| reply.status.as_u16())
+        get(address, wire::READINESS_PATH).await.ok().map(|reply| reply.status.as_u16())
     }
 
     /// Waits until a VM is ready and a home is known.
--- a/tools/standins/src/lib.rs
+++ b/tools/standins/src/lib.rs
@@ -14,5 +14,7 @@
 mod switch;
 /// Stand-in for a backend server as the gateway meets it.
 pub mod target;
+/// Names and shapes of the platform's wire, for tests.
+pub mod wire;
 
 pub use server::Server;
