Report only changed demands near a rate at once

Change: only demands near a rate that changed by a tenth are sent at once, as changes to what was sent; all of them once a second, as before.

--- a/components/dispatch/src/quota.rs
+++ b/components/dispatch/src/quota.rs
@@ -23,6 +23,8 @@
 /// Demand that each VM is taken to have besides, as a part of the rate: without any, every VM would
 /// own the whole burst.
 const PRIOR: f64 = 0.1;
+/// Part by which a pressing demand has to change to be reported again.
+const CHANGED: f64 = 0.1;
 /// Ratio by which a VM's demand counts above what the others know of it.
 const GROWTH: f64 = 1.25;
 /// Part of the rate up to which a VM's demand counts although the others do not know of it.
@@ -194,29 +196,50 @@
         }
     }
 
-    /// Demands of this VM to report: organisations with a demand that counts. Parts
-    /// follow these from now on.
+    /// Demands of this VM to report: organisations with a demand that counts. Parts follow these from
+    /// now on.
     pub fn demands(&mut self, now: Uptime) -> Vec<(u32, f64)> {
         let mut demands = Vec::new();
         for (id, account) in &mut self.accounts {
             let demand = account.demand(now);
-            let pressing = demand >= REPORTED * account.rate.per_second;
-            account.reported = if pressing { demand } else { 0.0 };
-            if pressing {
+            let counts = demand >= REPORTED * account.rate.per_second;
+            account.reported = if counts { demand } else { 0.0 };
+            if counts {
                 demands.push((short_hash(id), demand));
             }
         }
         demands
     }
 
-    /// Whether an organisation asks for so much that its demand has to be reported often.
-    pub fn is_pressed(&self, now: Uptime) -> bool {
-        self.accounts.values().any(|a| a.demand(now) >= PRESSING * a.rate.per_second)
+    /// Demands near a rate that have changed since they were reported, to be reported at once.
+    pub fn pressing_demands(&mut self, now: Uptime) -> Vec<(u32, f64)> {
+        let mut demands = Vec::new();
+        for (id, account) in &mut self.accounts {
+            let demand = account.demand(now);
+            let change = (demand - account.reported).abs();
+            if demand >= PRESSING * account.rate.per_second && change >= CHANGED * demand {
+                account.reported = demand;
+                demands.push((short_hash(id), demand));
+            }
+        }
+        demands
     }
 
-    /// Takes the demands of another VM.
+    /// Takes all demands of another VM.
     pub fn report(&mut self, now: Uptime, vm: u64, demands: impl Iterator<Item = (u32, f64)>) {
         self.reports.retain(|_, (at, _)| now.saturating_sub(*at) < REPORT_AGE);
         self.reports.insert(vm, (now, demands.collect()));
     }
+
+    /// Takes demands of another VM that have changed.
+    pub fn report_changes(
+        &mut self,
+        now: Uptime,
+        vm: u64,
+        demands: impl Iterator<Item = (u32, f64)>,
+    ) {
+        let (at, known) = self.reports.entry(vm).or_default();
+        *at = now;
+        known.extend(demands);
+    }
 }
--- a/components/dispatch/tests/quota.rs
+++ b/components/dispatch/tests/quota.rs
@@ -167,3 +167,42 @@
     }
     assert!(f64::from(admitted) <= 0.6 * RATE.burst, "{admitted} admitted");
 }
+
+// With hundreds of VMs and organisations one demand is always near its rate, and all demands were sent
+// each time.
+#[test]
+fn only_demands_near_a_rate_that_changed_are_reported_at_once() {
+    let ids: [OrganisationId; 2] = ["near".into(), "far".into()];
+    let mut quota = Quota::default();
+    let rates = ids.iter().map(|id| (id, Some(Rate { per_second: 10.0, burst: 30.0 })));
+    quota.configure(Uptime::ZERO, rates, 1, SLACK);
+    let now = Duration::from_secs(1);
+    for _ in 0..8 {
+        quota.admit(now, "near");
+    }
+    quota.admit(now, "far");
+    assert_eq!(quota.pressing_demands(now).len(), 1);
+    assert!(quota.pressing_demands(now).is_empty(), "nothing has changed since");
+    assert_eq!(quota.demands(now).len(), 2);
+}
+
+#[test]
+fn changed_demands_leave_the_others_as_they_were() {
+    let ids: [OrganisationId; 2] = ["a".into(), "b".into()];
+    let refused = |quota: &mut Quota, id: &str| {
+        let times = (0..20).map(|step| Duration::from_millis(step * 100));
+        times.filter(|now| quota.admit(*now, id) != QuotaVerdict::Admitted).count()
+    };
+    let fresh = || {
+        let mut quota = Quota::default();
+        let rates = ids.iter().map(|id| (id, Some(Rate { per_second: 10.0, burst: 10.0 })));
+        quota.configure(Uptime::ZERO, rates, 2, SLACK);
+        let both = ids.iter().map(|id| (dispatch::short_hash(id), 50.0));
+        quota.report(Duration::ZERO, 7, both);
+        quota
+    };
+    let (mut whole, mut changed) = (fresh(), fresh());
+    changed.report_changes(Duration::ZERO, 7, std::iter::once((dispatch::short_hash("a"), 0.0)));
+    assert_eq!(refused(&mut whole, "b"), refused(&mut changed, "b"));
+    assert!(refused(&mut changed, "a") < refused(&mut whole, "a"));
+}
--- a/components/gateway/src/bus.rs
+++ b/components/gateway/src/bus.rs
@@ -85,7 +85,7 @@
     }
 }
 
-/// Tells other homes what this VM saw of backend servers since the last time.
+/// Sends other homes what this VM saw of backend servers since the last time.
 pub async fn send_evidence(node: &Node) {
     let unsent_evidence = std::mem::take(&mut node.state().unsent_evidence);
     if unsent_evidence.is_empty() {
@@ -99,9 +99,7 @@
     notify_homes(node, &Datagram::Evidence(parts.collect())).await;
 }
 
-fn own_demands(node: &Node) -> Vec<DemandPart> {
-    let now = node.now();
-    let demands = node.state().quota.demands(now);
+fn demand_parts(demands: Vec<(u32, f64)>) -> Vec<DemandPart> {
     let part = |(organisation, demand): (u32, f64)| DemandPart {
         organisation,
         tenths: (demand * 10.0) as u32,
@@ -109,9 +107,10 @@
     demands.into_iter().map(part).collect()
 }
 
-/// Tells other homes of this VM's demand, and of itself if it is a home.
+/// Sends other homes this VM's demand, and its heartbeat if it is a home.
 pub async fn send_demand(node: &Node) {
-    let demands = own_demands(node);
+    let now = node.now();
+    let demands = demand_parts(node.state().quota.demands(now));
     let home = node.state().election.home() == Some(node.vm);
     if home {
         notify_homes(node, &Datagram::Home(own_beat(node), demands)).await;
@@ -120,16 +119,21 @@
     }
 }
 
-/// Tells other homes of this VM's demand while an organisation is near its rate.
+/// Sends other homes the demand of organisations near their rate, if it has changed.
 pub async fn send_pressing_demand(node: &Node) {
-    if node.state().quota.is_pressed(node.now()) {
-        notify_homes(node, &Datagram::Demand(node.vm, own_demands(node))).await;
+    let now = node.now();
+    let demands = node.state().quota.pressing_demands(now);
+    if !demands.is_empty() {
+        notify_homes(node, &Datagram::DemandChange(node.vm, demand_parts(demands))).await;
     }
 }
 
+fn demands_of(parts: &[DemandPart]) -> impl Iterator<Item = (u32, f64)> + '_ {
+    parts.iter().map(|d| (d.organisation, f64::from(d.tenths) / 10.0))
+}
+
 fn record_demand(node: &Node, now: Uptime, vm: Incarnation, demands: &[DemandPart]) {
-    let demand = demands.iter().map(|d| (d.organisation, f64::from(d.tenths) / 10.0));
-    node.state().quota.report(now, vm, demand);
+    node.state().quota.report(now, vm, demands_of(demands));
 }
 
 /// Takes messages of other VMs until the process ends.
@@ -171,6 +175,9 @@
         }
         Datagram::Home(beat, demands) => handle_home(node, now, beat, demands, pulling).await,
         Datagram::Demand(vm, demands) => record_demand(node, now, vm, &demands),
+        Datagram::DemandChange(vm, demands) => {
+            node.state().quota.report_changes(now, vm, demands_of(&demands));
+        }
         Datagram::Stop(vm) => {
             let mut state = node.state();
             state.election.forget(now, vm);
--- a/components/gateway/src/datagram.rs
+++ b/components/gateway/src/datagram.rs
@@ -74,7 +74,7 @@
     Beat(BeatMessage),
     /// Between homes; a standby that gets it passes it on to its home.
     Home(BeatMessage, Vec<DemandPart>),
-    /// Demand of one VM, between homes.
+    /// All demand of one VM, between homes.
     Demand(Incarnation, Vec<DemandPart>),
     /// The sender stops.
     Stop(Incarnation),
@@ -87,6 +87,8 @@
         /// Deaths.
         deaths: u32,
     },
+    /// Demand of one VM that has changed, between homes.
+    DemandChange(Incarnation, Vec<DemandPart>),
 }
 
 /// Writes a datagram.
