Count one request of a VM in its part of a rate at once

Cause: since parts follow reported demand, a home that gets the odd request of a small organisation had next to no part of its rate until its next report. Change: up to 0.6 requests a second count unreported, in place of 1 in 100 of the rate.

--- a/components/dispatch/src/quota.rs
+++ b/components/dispatch/src/quota.rs
@@ -27,8 +27,9 @@
 const CHANGED: f64 = 0.1;
 /// Ratio by which a VM's demand counts above what the others know of it.
 const GROWTH: f64 = 1.25;
-/// Part of the rate up to which a VM's demand counts although the others do not know of it.
-const UNREPORTED: f64 = 0.01;
+/// Requests a second up to which a VM's demand counts although the others do not know of it: about
+/// one request within `DEMAND`, which a small organisation's few requests need.
+const UNREPORTED: f64 = 0.6;
 /// Part of its rate from which an organisation's demand is reported at all.
 const REPORTED: f64 = 0.03;
 /// Part of its rate from which an organisation's demand is reported often.
@@ -161,7 +162,7 @@
         let demand = account.demand(now) + 1.0 / DEMAND.as_secs_f64();
         // With the newest demand of its own only, all parts would grow at once in a step of demand.
         let known = account.reported * GROWTH;
-        let own = demand.min(known.max(UNREPORTED * account.rate.per_second));
+        let own = demand.min(known.max(UNREPORTED));
         let part = self.part(now, id, account.rate.per_second, own);
         let Some(account) = self.accounts.get_mut(id) else {
             return QuotaVerdict::Admitted;
