Name what coverage knows of repeatable requests, and build accounts in one place

Read as a newcomer would: 'spared' did not say who is spared of what, and an account of a rate was written out twice. has_repeatable and Account::new; tests change the name of that field only. No behaviour changes.

--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -52,7 +52,7 @@
             relay_trip: 0.01,
             // A repeat costs a slot elsewhere and time.
             retried: 0.3,
-            // Between a repeat and a failure: half of the repeats find no budget while all shed.
+            // Between a repeat (0.3) and a failure (1): while all shed, some repeats find no budget.
             shed: 0.5,
             // The platform's backend servers take about twice as long while cold.
             cold_factor: 2.0,
@@ -93,8 +93,8 @@
     pub floor: f64,
     /// Part of the service's requests that fails.
     pub failing: f64,
-    /// Whether requests that can be sent once more come often enough to do the trying.
-    pub spared: bool,
+    /// Whether requests that can be sent once more come often enough to try idle backend servers.
+    pub has_repeatable: bool,
 }
 
 impl Coverage {
@@ -141,7 +141,7 @@
     request: &Request<'_>,
     options: &PlacementOptions,
 ) -> bool {
-    if request.coverage.spared && !request.repeatable {
+    if request.coverage.has_repeatable && !request.repeatable {
         return false;
     }
     let own = || {
--- a/components/dispatch/src/quota.rs
+++ b/components/dispatch/src/quota.rs
@@ -59,6 +59,10 @@
 }
 
 impl Account {
+    fn new(now: Uptime, rate: Rate, tokens: f64, reserve: f64) -> Self {
+        Account { rate, tokens, reserve, at: now, demand: 0.0, reported: 0.0, asked: now }
+    }
+
     /// Spends one request, of the reserve only what the tokens lack.
     fn spend(&mut self) {
         let lack = (1.0 - self.tokens.max(0.0)).clamp(0.0, self.reserve);
@@ -111,26 +115,9 @@
                 None if first => {
                     let tokens = START * rate.burst / self.servers;
                     let most = START_SLACK * slack / self.servers;
-                    let reserve = (START_LEAST - tokens).clamp(0.0, most);
-                    Account {
-                        rate,
-                        tokens,
-                        reserve,
-                        at: now,
-                        demand: 0.0,
-                        reported: 0.0,
-                        asked: now,
-                    }
+                    Account::new(now, rate, tokens, (START_LEAST - tokens).clamp(0.0, most))
                 }
-                None => Account {
-                    rate,
-                    tokens: rate.burst / self.servers,
-                    reserve: 0.0,
-                    at: now,
-                    demand: 0.0,
-                    reported: 0.0,
-                    asked: now,
-                },
+                None => Account::new(now, rate, rate.burst / self.servers, 0.0),
             };
             accounts.insert(id.clone(), account);
         }
--- a/components/dispatch/tests/outcomes.rs
+++ b/components/dispatch/tests/outcomes.rs
@@ -22,7 +22,7 @@
     assert!(before < 0.05, "{before} before");
     play(&mut outcomes, 4000, 4500, 100, 4);
     let after = outcomes.failing(Duration::from_millis(4500));
-    let idle = Coverage { floor: 0.7, failing: after, spared: false }.allowance(15);
+    let idle = Coverage { floor: 0.7, failing: after, has_repeatable: false }.allowance(15);
     assert_eq!(idle, 0, "{after} after");
 }
 
--- a/components/dispatch/tests/placement.rs
+++ b/components/dispatch/tests/placement.rs
@@ -10,7 +10,7 @@
 use kernel::Uptime;
 
 const NOW: Uptime = Duration::from_secs(30);
-const CALM: Coverage = Coverage { floor: 0.7, failing: 0.0, spared: false };
+const CALM: Coverage = Coverage { floor: 0.7, failing: 0.0, has_repeatable: false };
 
 fn backends(domains: &[&str]) -> (Backends, Vec<BackendKey>) {
     let entry = |(number, domain): (usize, &&str)| {
@@ -146,7 +146,8 @@
     let failing = Request { coverage, ..request(&[]) };
     let Choice::Send(key) = choose(&backends, &failing) else { panic!("no choice") };
     assert!(keys[..4].contains(&key));
-    let spared = Request { coverage: Coverage { spared: true, ..coverage }, ..request(&[]) };
+    let spared =
+        Request { coverage: Coverage { has_repeatable: true, ..coverage }, ..request(&[]) };
     let Choice::Send(key) = choose(&backends, &spared) else { panic!("no choice") };
     assert!(!keys[..4].contains(&key), "requests that can repeat do the trying");
 }
--- a/components/gateway/src/slot.rs
+++ b/components/gateway/src/slot.rs
@@ -13,7 +13,7 @@
 const SHORTEST_WAIT: Duration = Duration::from_millis(20);
 
 /// Time since a request that can be sent once more in which such requests do the trying.
-const SPARED: Duration = Duration::from_millis(500);
+const REPEATABLE_AGE: Duration = Duration::from_millis(500);
 
 /// A slot of a backend server, freed when it is dropped.
 pub struct Slot {
@@ -56,13 +56,14 @@
 fn choose(node: &Node, state: &mut State, now: Uptime, demand: &Demand) -> Choice {
     let floor = node.boot.load().bounds.floor;
     let coverage = state.services.get_mut(&demand.service).map_or(
-        Coverage { floor, failing: 0.0, spared: false },
+        Coverage { floor, failing: 0.0, has_repeatable: false },
         |service| {
             if demand.repeatable {
                 service.repeatable = Some(now);
             }
-            let spared = service.repeatable.is_some_and(|at| now.saturating_sub(at) < SPARED);
-            Coverage { floor, failing: service.outcomes.failing(now), spared }
+            let has_repeatable =
+                service.repeatable.is_some_and(|at| now.saturating_sub(at) < REPEATABLE_AGE);
+            Coverage { floor, failing: service.outcomes.failing(now), has_repeatable }
         },
     );
     let request = Request {
