--- a/components/dispatch/src/backends.rs
+++ b/components/dispatch/src/backends.rs
@@ -1,10 +1,10 @@
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 
 use kernel::prelude::*;
 use slotmap::{SlotMap, new_key_type};
 
-use crate::{Evidence, GrayDuration, Health, ShedRate};
+use crate::{Availability, Evidence, GrayDuration, Health, Notice, Notices, ShedRate, StartKey};
 
 /// Time for which a backend server is avoided by this VM after one failure to connect.
 const CONNECT_BACKOFF: Duration = Duration::from_millis(1500);
@@ -94,6 +94,8 @@
 pub struct BackendState {
     /// Its entry in the platform's list.
     pub entry: BackendEntry,
+    /// What it has said about itself in its responses.
+    pub notice: Notice,
     /// Estimate of whether it is gray.
     pub health: Health,
     /// Whether this VM can connect to it.
@@ -115,10 +117,11 @@
 }
 
 impl BackendState {
-    fn new(now: Uptime, entry: BackendEntry) -> Self {
+    fn new(now: Uptime, entry: BackendEntry, notice: Notice) -> Self {
         BackendState {
             cold_until: now + entry.warmup,
             entry,
+            notice,
             health: Health::new(now),
             reachability: Reachability::default(),
             in_flight: 0,
@@ -130,16 +133,22 @@
         }
     }
 
+    /// Whether it takes new requests, by its entry and by its own responses.
+    pub fn availability(&self, now: Uptime) -> Availability {
+        if self.entry.draining { Availability::Leaving } else { self.notice.availability(now) }
+    }
+
     /// Number of requests that it has, as far as this VM knows.
     pub fn load(&self, now: Uptime) -> u32 {
         let (count, at) = self.other_load;
         let fresh = now.saturating_sub(at) < MAX_LOAD_AGE;
-        self.in_flight + if fresh { count } else { 0 }
+        self.in_flight.saturating_add(if fresh { count } else { 0 })
     }
 
     /// Records a load report: the requests that it runs and those that it has queued.
     pub fn record_load(&mut self, now: Uptime, running: u32, queued: u32) {
-        self.other_load = ((running + queued).saturating_sub(self.in_flight), now);
+        // Both numbers are what the backend server has sent.
+        self.other_load = (running.saturating_add(queued).saturating_sub(self.in_flight), now);
     }
 
     /// Records a failure to connect.
@@ -161,6 +170,8 @@
     states: SlotMap<BackendKey, BackendState>,
     ids: HashMap<BackendId, BackendKey>,
     services: HashMap<ServiceId, Vec<BackendKey>>,
+    /// What backend servers have said about themselves, also of unlisted ones.
+    notices: Notices,
     /// Expected duration of a gray period.
     gray_duration: GrayDuration,
 }
@@ -190,7 +201,8 @@
             match self.ids.get(&entry.id).and_then(|key| self.states.get_mut(*key)) {
                 Some(state) => state.entry = entry.clone(),
                 None => {
-                    let key = self.states.insert(BackendState::new(now, entry.clone()));
+                    let notice = self.notices.get(Notices::key(entry));
+                    let key = self.states.insert(BackendState::new(now, entry.clone(), notice));
                     self.ids.insert(entry.id.clone(), key);
                     added.push(key);
                 }
@@ -200,9 +212,41 @@
         for (key, state) in &self.states {
             self.services.entry(state.entry.service.clone()).or_default().push(key);
         }
+        let listed: HashSet<StartKey> =
+            self.states.values().map(|state| Notices::key(&state.entry)).collect();
+        self.notices.prune(now, |key| listed.contains(&key));
         (added, removed)
     }
 
+    /// Records what a backend server said about itself in a response to this VM. Returns its start
+    /// if this was not known.
+    pub fn record_notice(
+        &mut self,
+        now: Uptime,
+        key: BackendKey,
+        notice: Notice,
+    ) -> Option<StartKey> {
+        let state = self.states.get_mut(key)?;
+        state.notice.merge(notice);
+        let start = Notices::key(&state.entry);
+        self.notices.merge(now, start, notice).then_some(start)
+    }
+
+    /// Merges what another VM reports of a backend server, which need not be listed here.
+    pub fn merge_notice(&mut self, now: Uptime, start: StartKey, notice: Notice) {
+        if !self.notices.merge(now, start, notice) {
+            return;
+        }
+        for state in self.states.values_mut().filter(|s| Notices::key(&s.entry) == start) {
+            state.notice.merge(notice);
+        }
+    }
+
+    /// Notices that are in force, to be reported to other VMs.
+    pub fn active_notices(&self, now: Uptime) -> impl Iterator<Item = (StartKey, Notice)> + '_ {
+        self.notices.active(now)
+    }
+
     /// The backend servers of a service.
     pub fn of_service(&self, service: &str) -> impl Iterator<Item = (BackendKey, &BackendState)> {
         let keys = self.services.get(service).map_or(&[][..], Vec::as_slice);
--- a/components/dispatch/src/gateway_config.rs
+++ b/components/dispatch/src/gateway_config.rs
@@ -16,6 +16,25 @@
     pub weight: u32,
 }
 
+/// What may be done with a request that may already have run, and how large it is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RouteKind {
+    /// May run more than once.
+    Idempotent,
+    /// May run once at most.
+    NonIdempotent,
+    /// May run once at most, and has a body that weighs more than its service time does: where it
+    /// goes depends on its size.
+    Upload,
+}
+
+impl RouteKind {
+    /// Whether a request may run more than once.
+    pub fn is_idempotent(self) -> bool {
+        self == RouteKind::Idempotent
+    }
+}
+
 /// A route from a host and path prefix to one or more services.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewayRoute {
@@ -27,8 +46,8 @@
     pub path_prefix: Box<str>,
     /// Services that run the requests. Never empty, and the sum of the weights is above 0.
     pub services: Vec<ServiceWeight>,
-    /// Whether a request may run more than once.
-    pub idempotent: bool,
+    /// How often a request may run.
+    pub kind: RouteKind,
     /// Time after which the caller gets an error instead of a response.
     pub timeout: Duration,
     /// Time within which a response has its full value.
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -6,11 +6,13 @@
 //! time is one gray period.
 
 mod backends;
+mod byte_budget;
 mod change_log;
 mod crash_suspects;
 mod election;
 mod gateway_config;
 mod health;
+mod notice;
 mod outage;
 mod outcome_window;
 mod placement;
@@ -24,15 +26,17 @@
 mod wait_queue;
 
 pub use backends::{BackendEntry, BackendKey, BackendStart, BackendState, Backends, Reachability};
+pub use byte_budget::ByteBudget;
 pub use change_log::ChangeLog;
 pub use crash_suspects::{CrashSuspects, MAX_CRASHES};
 pub use election::{Election, LeaderClaim, PeerHeartbeat, Role};
 pub use gateway_config::{
     AccessDenied, CallerLimits, GatewayConfig, GatewayConfigError, GatewayConfigParts,
-    GatewayOrganisation, GatewayRoute, GatewayService, OrganisationIndex, RouteIndex,
+    GatewayOrganisation, GatewayRoute, GatewayService, OrganisationIndex, RouteIndex, RouteKind,
     ServiceWeight,
 };
 pub use health::{Evidence, GrayDuration, Health};
+pub use notice::{Availability, MAX_PAUSE, Notice, Notices, StartKey};
 pub use outage::Outage;
 pub use outcome_window::OutcomeWindow;
 pub use placement::{Coverage, Distance, Placement, PlacementRequest, PlacementWeights, place};
@@ -43,4 +47,4 @@
 pub use shutdown::may_start;
 pub use store_watch::WatchConditions;
 pub use traffic_split::TrafficSplit;
-pub use wait_queue::{NotQueued, WaitQueue, Waiter, WaiterId};
+pub use wait_queue::{NotQueued, QueueCapacity, WaitQueue, Waiter, WaiterId};
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -2,7 +2,7 @@
 
 use kernel::Uptime;
 
-use crate::{BackendKey, BackendState, GrayDuration};
+use crate::{Availability, BackendKey, BackendState, GrayDuration};
 
 /// Time for which a backend server that has refused a request as full gets no request.
 const FULL_BACKOFF: Duration = Duration::from_millis(150);
@@ -28,6 +28,8 @@
     pub region_kb_cost: f64,
     /// Round-trip time to another region, in seconds.
     pub region_rtt_s: f64,
+    /// Time that a kilobyte of a request takes to another region, in seconds.
+    pub region_kb_s: f64,
     /// Delay that a relay adds, in seconds.
     pub relay_delay_s: f64,
     /// Cost of a failure of a request that may be retried, relative to one that may not.
@@ -49,6 +51,8 @@
             domain_kb_cost: 0.1,
             region_kb_cost: 0.13,
             region_rtt_s: 0.06,
+            // A TCP window of 64 KB for each round trip.
+            region_kb_s: 0.001,
             // One connection and one request within a failure domain, between two small VMs.
             relay_delay_s: 0.01,
             // A retry costs time and a slot of another backend server.
@@ -74,6 +78,8 @@
     pub retryable: bool,
     /// Expected size of the request and its response together, in kilobytes.
     pub size_kb: f64,
+    /// Size of the body of the request, in kilobytes.
+    pub body_kb: f64,
     /// Expected service time, in seconds.
     pub expected_s: f64,
     /// Remaining time in which a response has its full value, in seconds.
@@ -127,6 +133,8 @@
     Send(BackendKey),
     /// Let it wait: every backend server is full, or a full one is much better than the free ones.
     Wait,
+    /// Every backend server that is left for it has asked for a pause; the first one ends then.
+    Paused(Uptime),
     /// No backend server is left for it.
     NoBackend,
 }
@@ -149,7 +157,7 @@
     }
     let local = || {
         let local = candidates.iter().filter(|(_, _, distance)| *distance == Distance::Domain);
-        local.filter(|(_, state, _)| !state.entry.draining)
+        local.filter(|(_, state, _)| state.availability(now) == Availability::Ready)
     };
     let idle = local().filter(|(_, state, _)| is_idle(now, state, weights)).count();
     idle > request.coverage.max_idle(local().count())
@@ -176,7 +184,10 @@
     let (transfer, rtt_s) = match distance {
         Distance::Domain => (0.0, 0.0),
         Distance::Region => (weights.domain_kb_cost * request.size_kb, 0.002),
-        Distance::Remote => (weights.region_kb_cost * request.size_kb, weights.region_rtt_s),
+        Distance::Remote => (
+            weights.region_kb_cost * request.size_kb,
+            weights.region_rtt_s + weights.region_kb_s * request.body_kb,
+        ),
     };
     let mut time_s = request.expected_s * state.health.latency_ratio(now);
     if now < state.cold_until {
@@ -209,7 +220,8 @@
 }
 
 /// Places a request on the backend server that has a free slot and the least expected loss. Backend
-/// servers that are draining, and those that the request was already sent to, are left out.
+/// servers that are leaving or have asked for a pause, and those that the request was already sent
+/// to, are left out.
 ///
 /// Handles a service of which a third is gray and some failure domains have few backend servers:
 /// requests go to another failure domain when the expected loss in their own is higher than the
@@ -226,10 +238,19 @@
     let mut best: Option<(f64, BackendKey)> = None;
     let mut best_full: Option<f64> = None;
     let mut any = false;
+    let mut pause_end: Option<Uptime> = None;
     for (key, state, distance) in candidates {
-        if state.entry.draining || request.tried.contains(&key) {
+        if request.tried.contains(&key) {
             continue;
         }
+        match state.availability(now) {
+            Availability::Ready => {}
+            Availability::Leaving => continue,
+            Availability::Paused(until) => {
+                pause_end = Some(pause_end.map_or(until, |end| end.min(until)));
+                continue;
+            }
+        }
         any = true;
         let loss = estimate_loss(now, state, distance, request, probe, gray_duration, weights);
         if has_free_slot(now, state) {
@@ -251,6 +272,6 @@
         }
         (Some((_, key)), _) => Placement::Send(key),
         (None, _) if any => Placement::Wait,
-        (None, _) => Placement::NoBackend,
+        (None, _) => pause_end.map_or(Placement::NoBackend, Placement::Paused),
     }
 }
--- a/components/dispatch/src/wait_queue.rs
+++ b/components/dispatch/src/wait_queue.rs
@@ -10,6 +10,8 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Upper bound of the Retry-After of a rejected request.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(3);
+/// Time after the end of a pause over which the rejected callers return.
+const PAUSE_SPREAD: Duration = Duration::from_secs(1);
 /// Lower bound of the window over which the rate of starts is measured.
 const MIN_RATE_WINDOW: Duration = Duration::from_secs(2);
 
@@ -24,6 +26,17 @@
     pub queued_at: Uptime,
 }
 
+/// Capacity that the requests of a queue wait for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QueueCapacity {
+    /// Slots of the backend servers.
+    pub slots: u32,
+    /// Expected service time of a request, in seconds.
+    pub expected_s: f64,
+    /// When the first slot can become free: now, or the end of a pause that all have asked for.
+    pub available_at: Uptime,
+}
+
 /// A request that was not queued. It was not run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct NotQueued {
@@ -78,20 +91,25 @@
     }
 
     /// Queues a request if it is expected to start before its deadline, after all requests ahead of
-    /// it. `slots` and `expected_s` are the slots and the expected service time of the service.
+    /// it. `spread`, in [0, 1), tells apart the callers that are rejected while nothing waits.
     pub fn enqueue(
         &mut self,
         now: Uptime,
         id: WaiterId,
         waiter: Waiter,
-        slots: u32,
-        expected_s: f64,
+        capacity: QueueCapacity,
+        spread: f64,
     ) -> Result<(), NotQueued> {
         let ahead = self.queue.range(..(waiter.priority, waiter.start_deadline, id)).count();
-        let rate = self.start_rate(now, slots, expected_s);
-        let wait = Duration::from_secs_f64((ahead as f64 + 1.0) / rate.max(0.1));
+        let pause = capacity.available_at.saturating_sub(now);
+        let rate = self.start_rate(now, capacity.slots, capacity.expected_s);
+        let wait = pause + Duration::from_secs_f64((ahead as f64 + 1.0) / rate.max(0.1));
         if now + wait > waiter.start_deadline {
-            return Err(NotQueued { retry_after: self.retry_after(rate) });
+            let retry_after = self.retry_after(rate);
+            if pause.is_zero() {
+                return Err(NotQueued { retry_after });
+            }
+            return Err(NotQueued { retry_after: pause + PAUSE_SPREAD.mul_f64(spread) });
         }
         self.queue.insert((waiter.priority, waiter.start_deadline, id), waiter);
         Ok(())
--- a/components/dispatch/tests/admission.rs
+++ b/components/dispatch/tests/admission.rs
@@ -4,8 +4,8 @@
 
 use dispatch::{
     AccessDenied, CrashSuspects, GatewayConfig, GatewayConfigError, GatewayConfigParts,
-    GatewayOrganisation, GatewayRoute, GatewayService, MAX_CRASHES, ServiceWeight, TrafficSplit,
-    may_start,
+    GatewayOrganisation, GatewayRoute, GatewayService, MAX_CRASHES, RouteKind, ServiceWeight,
+    TrafficSplit, may_start,
 };
 
 fn route(id: &str, prefix: &str) -> GatewayRoute {
@@ -14,7 +14,7 @@
         host: "a.example".into(),
         path_prefix: prefix.into(),
         services: vec![ServiceWeight { service: "s".into(), weight: 1 }],
-        idempotent: true,
+        kind: RouteKind::Idempotent,
         timeout: Duration::from_secs(3),
         latency_objective: Duration::from_secs(1),
         priority: 1,
--- a/components/dispatch/tests/placement.rs
+++ b/components/dispatch/tests/placement.rs
@@ -47,6 +47,7 @@
         value: 2.0,
         retryable: false,
         size_kb: 3.0,
+        body_kb: 0.0,
         expected_s: 0.3,
         remaining_s: 1.5,
         tried,
--- a/components/dispatch/tests/wait_queue.rs
+++ b/components/dispatch/tests/wait_queue.rs
@@ -3,11 +3,11 @@
 
 use std::time::Duration;
 
-use dispatch::{WaitQueue, Waiter};
+use dispatch::{QueueCapacity, WaitQueue, Waiter};
 use kernel::Uptime;
 
-const SLOTS: u32 = 8;
-const EXPECTED_S: f64 = 0.2;
+const CAPACITY: QueueCapacity =
+    QueueCapacity { slots: 8, expected_s: 0.2, available_at: Uptime::ZERO };
 
 fn at(millis: u64) -> Uptime {
     Duration::from_millis(millis)
@@ -21,7 +21,7 @@
 fn order_is_by_priority_and_then_by_deadline() {
     let mut queue = WaitQueue::default();
     for (id, priority, max_wait) in [(1, 2, 900), (2, 0, 1200), (3, 2, 700), (4, 0, 1000)] {
-        assert!(queue.enqueue(at(0), id, waiter(priority, 0, max_wait), SLOTS, EXPECTED_S).is_ok());
+        assert!(queue.enqueue(at(0), id, waiter(priority, 0, max_wait), CAPACITY, 0.0).is_ok());
     }
     assert_eq!(queue.ids(), [4, 2, 3, 1]);
     assert!(queue.remove(4, &waiter(0, 0, 1000)));
@@ -36,7 +36,7 @@
     let (mut waiting, mut rejected) = (0, Vec::new());
     for id in 0..400 {
         let now = id * 2;
-        match queue.enqueue(at(now), id, waiter(1, now, 500), SLOTS, EXPECTED_S) {
+        match queue.enqueue(at(now), id, waiter(1, now, 500), CAPACITY, 0.0) {
             Ok(()) => waiting += 1,
             Err(rejection) => rejected.push(rejection.retry_after),
         }
@@ -56,9 +56,7 @@
             queue.record_start(at(start * 2500 / starts));
         }
         (0..200)
-            .filter(|id| {
-                queue.enqueue(at(2500), *id, waiter(1, 2500, 500), SLOTS, EXPECTED_S).is_ok()
-            })
+            .filter(|id| queue.enqueue(at(2500), *id, waiter(1, 2500, 500), CAPACITY, 0.0).is_ok())
             .count()
     };
     assert!(count(500) > 2 * count(25));
@@ -68,9 +66,26 @@
 fn urgent_request_overtakes_the_queue() {
     let mut queue = WaitQueue::default();
     let mut id = 0;
-    while queue.enqueue(at(0), id, waiter(2, 0, 500), SLOTS, EXPECTED_S).is_ok() {
+    while queue.enqueue(at(0), id, waiter(2, 0, 500), CAPACITY, 0.0).is_ok() {
         id += 1;
     }
-    assert!(queue.enqueue(at(0), 9999, waiter(0, 0, 500), SLOTS, EXPECTED_S).is_ok());
+    assert!(queue.enqueue(at(0), 9999, waiter(0, 0, 500), CAPACITY, 0.0).is_ok());
     assert_eq!(queue.first(), Some(9999));
 }
+
+// Guards against callers that wait or return in vain while all backend servers of a service have
+// asked for a pause of 800 ms.
+#[test]
+fn request_waits_for_the_end_of_a_pause_only_if_it_fits() {
+    let paused = QueueCapacity { available_at: at(1800), ..CAPACITY };
+    let mut queue = WaitQueue::default();
+    let long = waiter(1, 1000, 1500);
+    assert!(queue.enqueue(at(1000), 1, long, paused, 0.5).is_ok());
+    let short = waiter(1, 1000, 600);
+    let mut returns = Vec::new();
+    for (id, spread) in [(2, 0.0), (3, 0.5), (4, 0.9)] {
+        let rejected = queue.enqueue(at(1000), id, short, paused, spread);
+        returns.push(rejected.expect_err("it cannot start in time").retry_after);
+    }
+    assert_eq!(returns, [at(800), at(1300), at(1700)]);
+}
--- a/components/gateway/src/admission.rs
+++ b/components/gateway/src/admission.rs
@@ -5,12 +5,12 @@
 use bytes::Bytes;
 use dispatch::{AccessDenied, GatewayConfig, GatewayRoute, QuotaDecision, may_start};
 use http::Request;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use kernel::prelude::*;
 use tokio::time::Instant;
 
 use crate::attempts::{Admitted, serve};
+use crate::body::BodyError;
 use crate::exchange::OutgoingRequest;
 use crate::node::Node;
 use crate::response::{CallerResponse, refusal_response};
@@ -26,6 +26,8 @@
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Retry-After of a request that is refused because backend servers crashed while they ran it.
 const CRASH_RETRY_AFTER: Duration = Duration::from_secs(30);
+/// Retry-After of a request whose body found no room: about the time of a running one.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// One in this many successful requests is logged.
 const SUCCESS_LOG_INTERVAL: u64 = 64;
 
@@ -101,23 +103,23 @@
     }
 }
 
-async fn read_body(request: Request<Incoming>, max_bytes: usize) -> Result<Bytes, Refusal> {
-    let stated_length = request.headers().get(http::header::CONTENT_LENGTH);
-    let stated_length =
-        stated_length.and_then(|v| v.to_str().ok()).and_then(|v| v.parse::<usize>().ok());
-    let too_large =
-        || Refusal::not_run(RefusalKind::BodyTooLarge, format!("send at most {max_bytes} bytes"));
-    if stated_length.is_some_and(|length| length > max_bytes) {
-        return Err(too_large());
-    }
-    match Limited::new(request.into_body(), max_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(too_large()),
-        Err(error) => {
+async fn read_body(
+    node: &Node,
+    request: Request<Incoming>,
+    max_bytes: usize,
+) -> Result<Bytes, Refusal> {
+    let read = node.request_bodies.read(request.into_body(), max_bytes).await;
+    read.map_err(|error| match error {
+        BodyError::TooLarge { limit } => {
+            Refusal::not_run(RefusalKind::BodyTooLarge, format!("send at most {limit} bytes"))
+        }
+        BodyError::NoRoom { .. } => Refusal::not_run(RefusalKind::Overloaded, error.to_string())
+            .retry_after(NO_ROOM_RETRY_AFTER),
+        BodyError::Truncated(_) => {
             let message = format!("the body did not arrive whole: {error}");
-            Err(Refusal::not_run(RefusalKind::BadRequest, message))
+            Refusal::not_run(RefusalKind::BadRequest, message)
         }
-    }
+    })
 }
 
 /// Identifies requests that would crash a backend server again: hashes the organisation, method,
@@ -164,18 +166,25 @@
         Refusal::not_run(RefusalKind::BadRequest, "the target of the request cannot be read")
     })?;
     let headers = request.headers().clone();
-    let body = read_body(request, config.limits.max_body_bytes).await?;
+    let deadline = started + head.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
+    let body = read_body(node, request, config.limits.max_body_bytes);
+    let body = tokio::time::timeout(deadline.saturating_sub(node.now()), body);
+    let body = body.await.map_err(|_| {
+        let message = "the body did not arrive before the deadline; send it faster";
+        Refusal::not_run(RefusalKind::DeadlinePassed, message)
+    })??;
     let outgoing = OutgoingRequest {
         method,
         target,
         headers,
         body,
         request_id: head.request_id.clone(),
-        idempotent: route.idempotent,
+        idempotent: route.kind.is_idempotent(),
+        deadline,
     };
     let fingerprint = fingerprint(organisation.as_deref(), &outgoing);
     let service = check_limits(node, &config, route, organisation.as_deref(), fingerprint)?;
-    let deadline = head.deadline.unwrap_or(DEFAULT_DEADLINE);
+    let patience = head.deadline.unwrap_or(DEFAULT_DEADLINE);
     let admitted = Admitted {
         route: route.clone(),
         service,
@@ -183,8 +192,7 @@
         outgoing,
         fingerprint,
         started,
-        deadline: started + deadline.min(route.timeout),
-        objective_deadline: started + route.latency_objective.min(deadline),
+        objective_deadline: started + route.latency_objective.min(patience),
         priority,
         value: request_value(route.priority),
         config_version: config.version,
--- a/components/gateway/src/attempts.rs
+++ b/components/gateway/src/attempts.rs
@@ -1,7 +1,7 @@
 use std::pin::pin;
 use std::sync::Arc;
 
-use adapter::backend_request_headers;
+use adapter::{ResponseHead, backend_request_headers};
 use dispatch::{BackendEntry, BackendKey, Distance, Evidence, GatewayRoute};
 use futures::stream::{FuturesUnordered, StreamExt};
 use kernel::prelude::*;
@@ -42,8 +42,6 @@
     pub fingerprint: u64,
     /// When the request arrived.
     pub started: Uptime,
-    /// When the caller must have a response.
-    pub deadline: Uptime,
     /// When the latency objective of the route expires.
     pub objective_deadline: Uptime,
     /// Priority; 0 is the most urgent.
@@ -105,7 +103,8 @@
     progress: &mut Progress,
 ) -> Result<BackendResponse, Refusal> {
     let mut running = FuturesUnordered::new();
-    let mut expiry = pin!(sleep((req.deadline + DEADLINE_MARGIN).saturating_sub(node.now())));
+    let mut expiry =
+        pin!(sleep((req.outgoing.deadline + DEADLINE_MARGIN).saturating_sub(node.now())));
     let estimate = route_estimate(node, req);
     let overdue = overdue_after(&estimate);
     let slot = next_slot(node, req, progress, estimate).await?;
@@ -150,12 +149,13 @@
 }
 
 fn placement(req: &Admitted, progress: &Progress, estimate: RouteEstimate) -> PlacementParams {
-    let retryable = req.route.idempotent && progress.sends + 1 < req.route.max_attempts;
+    let retryable = req.route.kind.is_idempotent() && progress.sends + 1 < req.route.max_attempts;
     PlacementParams {
         service: req.service.clone(),
         value: req.value,
         retryable,
         estimate,
+        body_kb: req.outgoing.body.len() as f64 / 1000.0,
         objective_deadline: req.objective_deadline,
         tried: progress.tried.clone(),
     }
@@ -203,7 +203,7 @@
 }
 
 fn may_hedge(req: &Admitted, progress: &Progress) -> bool {
-    req.route.idempotent && progress.sends < req.route.max_attempts
+    req.route.kind.is_idempotent() && progress.sends < req.route.max_attempts
 }
 
 fn take_retry(node: &Node, req: &Admitted) -> bool {
@@ -221,10 +221,10 @@
 
 /// Whether a request whose attempts have all ended may be sent to another backend server.
 fn may_retry(node: &Node, req: &Admitted, progress: &Progress) -> bool {
-    if node.now() >= req.deadline || progress.unsent >= MAX_UNSENT {
+    if node.now() >= req.outgoing.deadline || progress.unsent >= MAX_UNSENT {
         return false;
     }
-    if progress.maybe_run && !req.route.idempotent {
+    if progress.maybe_run && !req.route.kind.is_idempotent() {
         return false;
     }
     // Only attempts that were sent use up the retry budget.
@@ -264,7 +264,7 @@
             let message = format!("service {} has no backend server left to try", req.service);
             Refusal::not_run(RefusalKind::NoBackend, message).retry_after(NOT_RUN_RETRY_AFTER)
         }
-        NoSlot::QueueFull { retry_after } => {
+        NoSlot::Rejected { retry_after } => {
             let message = format!("service {} has no room in time", req.service);
             Refusal::not_run(RefusalKind::Overloaded, message).retry_after(retry_after)
         }
@@ -286,7 +286,7 @@
         return Attempt { key, backend: "".into(), via: None, outcome };
     };
     let now = node.now();
-    let remaining = req.deadline.saturating_sub(now);
+    let remaining = req.outgoing.deadline.saturating_sub(now);
     let mut outgoing = req.outgoing.clone();
     outgoing.headers = backend_request_headers(
         &req.outgoing.headers,
@@ -335,7 +335,7 @@
     outgoing: OutgoingRequest,
 ) -> SendOutcome {
     match via {
-        Some(vm) => relay::exchange_through(node, vm, entry, outgoing).await,
+        Some(vm) => relay::exchange_through(node, vm, key, entry, outgoing).await,
         None => {
             let remote = node.distance(&entry.domain) == Distance::Remote;
             exchange(node, key, entry.address, remote, outgoing).await
@@ -368,7 +368,7 @@
 
 /// Health evidence in a response; `None` if the backend server refused to run the request.
 fn evidence(response: &BackendResponse) -> Option<Evidence> {
-    if response.head.not_run {
+    if response.head.not_run || response.head.pause.is_some() {
         return None;
     }
     Some(match response.status.as_u16() {
@@ -400,7 +400,9 @@
                 }
                 // A refusal without a load report counts as one of a full backend server.
                 let full = response.head.load.is_none_or(|load| load.queued > 0);
-                if response.head.not_run && full {
+                if response.head.pause.is_some() {
+                    // The pause says more than the refusal.
+                } else if response.head.not_run && full {
                     backend.last_full = Some(now);
                 } else {
                     backend.shed_rate.observe(now, response.head.not_run);
@@ -426,6 +428,7 @@
             (None, cause.to_string())
         }
         SendOutcome::Stale => (None, STALE_CAUSE.to_owned()),
+        SendOutcome::Withheld(cause) => (None, (*cause).to_owned()),
         SendOutcome::Broken(cause) => (Some(Evidence::Broken), cause.to_string()),
     };
     if let Some(observed) = observed {
@@ -460,7 +463,8 @@
 ) -> Option<BackendResponse> {
     match attempt.outcome {
         SendOutcome::Completed(response) => {
-            let failed = response.status.is_server_error() || response.head.not_run;
+            let ResponseHead { not_run, misleading, .. } = response.head;
+            let failed = response.status.is_server_error() || not_run || misleading;
             if !failed {
                 return Some(response);
             }
@@ -468,7 +472,7 @@
                 progress.maybe_run = true;
             }
             progress.cause = format!("{} of {}", response.status, attempt.backend).into();
-            progress.failure = Some(response);
+            progress.failure = Some(response).filter(|_| !misleading);
         }
         SendOutcome::Unsent(cause) => {
             progress.sends -= 1;
@@ -480,6 +484,11 @@
             progress.unsent += 1;
             progress.cause = STALE_CAUSE.into();
         }
+        SendOutcome::Withheld(cause) => {
+            progress.sends -= 1;
+            progress.unsent += 1;
+            progress.cause = cause.into();
+        }
         SendOutcome::Broken(cause) => {
             progress.maybe_run = true;
             progress.cause = cause;
@@ -494,7 +503,7 @@
         backend = attempt.backend,
         sends = progress.sends,
         maybe_run = progress.maybe_run,
-        left_ms = req.deadline.saturating_sub(node.now()).as_millis() as u64,
+        left_ms = req.outgoing.deadline.saturating_sub(node.now()).as_millis() as u64,
     );
     None
 }
--- a/components/gateway/src/datagram.rs
+++ b/components/gateway/src/datagram.rs
@@ -73,6 +73,19 @@
     pub tenths: u32,
 }
 
+/// What a backend server has said about itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BackendNotice {
+    /// Short hash of the backend server's id.
+    pub backend: u32,
+    /// Its start time in Unix milliseconds.
+    pub started_ms: u64,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Rest of the pause that it has asked for; 0 without one.
+    pub pause_ms: u64,
+}
+
 /// A message between two VMs. The encoding depends on the order of variants and fields.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -98,6 +111,9 @@
     },
     /// Changed demand of one VM, sent to leaders.
     DemandChange(Incarnation, Vec<OrganisationDemand>),
+    /// What backend servers have said about themselves, sent inside a failure domain and, if they
+    /// are leaving, to the leaders.
+    Notices(Vec<BackendNotice>),
 }
 
 /// Encodes a datagram.
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -1,18 +1,23 @@
 use std::time::{Duration, Instant};
 
-use adapter::{ResponseHead, decode_response_head};
-use bytes::{Bytes, BytesMut};
-use dispatch::BackendKey;
+use adapter::{ResponseHead, decode_response_head, set_deadline};
+use bytes::Bytes;
+use dispatch::{Availability, BackendKey};
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
+use kernel::Uptime;
 
 use crate::node::Node;
+use crate::notices::record_notice;
 use crate::pool::SendError;
 
-/// Maximum size of a body. Responses are buffered whole, so that a truncated one is detected
-/// before any byte of it reaches the caller.
-const MAX_BODY_BYTES: usize = 16 << 20;
+/// Maximum size of a response body. Responses are buffered whole, so that a truncated one is
+/// detected before any byte of it reaches the caller.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Maximum part of the memory for response bodies that one of them may take, so that a backend
+/// server that sends without end leaves room for others.
+const MAX_RESPONSE_FRACTION: usize = 4;
 
 /// A request as it is sent to a backend server.
 #[derive(Clone)]
@@ -29,6 +34,8 @@
     pub request_id: Box<str>,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// When the caller must have a response.
+    pub deadline: Uptime,
 }
 
 /// A complete response of a backend server.
@@ -53,6 +60,9 @@
     Unsent(Box<str>),
     /// Nothing was sent, because a pooled connection had been closed.
     Stale,
+    /// Nothing was sent, because by the time of sending the request or the backend server was no
+    /// longer fit for it.
+    Withheld(&'static str),
     /// It may have run: the connection broke, or the response was truncated or not the backend
     /// server's own.
     Broken(Box<str>),
@@ -63,8 +73,12 @@
     status: StatusCode,
     request_id: &str,
 ) -> Option<&'static str> {
-    if head.request_id.as_deref().is_some_and(|id| id != request_id) {
-        return Some("the answer belongs to another request");
+    // A response without an id cannot be told from a second one to the previous request of the
+    // connection. One of another backend server is no response to a request.
+    match head.request_id.as_deref() {
+        Some(id) if id != request_id => return Some("the answer belongs to another request"),
+        None if !head.misdirected => return Some("the answer names no request"),
+        _ => {}
     }
     if status.is_success() && (!head.signed || head.encoded) {
         return Some("the answer is not the backend server's own");
@@ -86,23 +100,25 @@
     }
 }
 
-/// Reads a complete body; fails if it was truncated or is too large.
-pub async fn read_body(mut incoming: Incoming) -> Result<Bytes, Box<str>> {
-    let mut body = BytesMut::new();
-    while let Some(frame) = incoming.frame().await {
-        match frame {
-            Err(error) => return Err(format!("the answer was cut: {error}").into()),
-            Ok(frame) => {
-                if let Ok(data) = frame.into_data() {
-                    body.extend_from_slice(&data);
-                }
-            }
-        }
-        if body.len() > MAX_BODY_BYTES {
-            return Err("the answer is too large".into());
-        }
+/// Why a request must not be sent now, although a slot was taken and a connection opened for it. A
+/// process can be paused in between.
+fn withheld_reason(node: &Node, key: BackendKey, deadline: Uptime) -> Option<&'static str> {
+    let now = node.now();
+    if now >= deadline {
+        return Some("the deadline passed before the request was sent");
     }
-    Ok(body.freeze())
+    match node.state().backends.get(key).map(|backend| backend.availability(now)) {
+        None | Some(Availability::Leaving) => Some("the backend server has left"),
+        Some(Availability::Paused(_)) => Some("the backend server has asked for a pause"),
+        Some(Availability::Ready) => None,
+    }
+}
+
+/// Reads the body of a response.
+pub async fn read_response_body(node: &Node, incoming: Incoming) -> Result<Bytes, Box<str>> {
+    let store = &node.response_bodies;
+    let max_bytes = MAX_RESPONSE_BYTES.min(store.limit() / MAX_RESPONSE_FRACTION);
+    store.read(incoming, max_bytes).await.map_err(|error| format!("the answer: {error}").into())
 }
 
 /// Sends a request to a backend server and reads the complete response.
@@ -111,7 +127,7 @@
     key: BackendKey,
     address: std::net::SocketAddr,
     remote: bool,
-    outgoing: OutgoingRequest,
+    mut outgoing: OutgoingRequest,
 ) -> SendOutcome {
     let options = &node.options;
     let max_idle = if outgoing.idempotent { options.max_idle } else { options.non_idempotent_idle };
@@ -122,6 +138,10 @@
         Err(SendError::Connect(error)) => return SendOutcome::Unsent(error.to_string().into()),
         Err(_) => return SendOutcome::Stale,
     };
+    if let Some(reason) = withheld_reason(node, key, outgoing.deadline) {
+        return SendOutcome::Withheld(reason);
+    }
+    set_deadline(&mut outgoing.headers, outgoing.deadline.saturating_sub(node.now()));
     let request_id = outgoing.request_id.clone();
     let response = match connection.send(outgoing.into_request()).await {
         Ok(response) => response,
@@ -133,7 +153,8 @@
     if let Some(reason) = find_response_error(&head, parts.status, &request_id) {
         return SendOutcome::Broken(reason.into());
     }
-    let body = match read_body(incoming).await {
+    record_notice(node, key, &head);
+    let body = match read_response_body(node, incoming).await {
         Ok(body) => body,
         Err(cause) => return SendOutcome::Broken(cause),
     };
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -2,7 +2,9 @@
 
 mod admission;
 mod attempts;
+mod backend_stream;
 mod backend_table;
+mod body;
 mod datagram;
 mod endpoints;
 mod exchange;
@@ -11,6 +13,7 @@
 mod messaging;
 mod metrics;
 mod node;
+mod notices;
 mod options;
 mod periodic;
 mod pool;
@@ -27,7 +30,8 @@
 
 pub use backend_table::BackendTable;
 pub use datagram::{
-    BackendEvidence, Datagram, DatagramError, HeartbeatMessage, OrganisationDemand, decode, encode,
+    BackendEvidence, BackendNotice, Datagram, DatagramError, HeartbeatMessage, OrganisationDemand,
+    decode, encode,
 };
 pub use options::{OPTIONS, OptionInfo, Options, options_table};
 pub use run::run;
--- a/components/gateway/src/messaging.rs
+++ b/components/gateway/src/messaging.rs
@@ -11,6 +11,7 @@
     BackendEvidence, Datagram, HeartbeatMessage, OrganisationDemand, decode, encode,
 };
 use crate::node::Node;
+use crate::notices::merge_notices;
 use crate::state::OtherLeader;
 use crate::store_cache::record_confirmation;
 use crate::sync::pull_from;
@@ -200,6 +201,7 @@
             drop(state);
             node.heartbeat_wake.notify_one();
         }
+        Datagram::Notices(notices) => merge_notices(node, &notices),
         Datagram::Evidence(evidence) => apply_evidence(node, now, &evidence),
         Datagram::Crash { fingerprint, crashes } => {
             node.state().crash_suspects.merge_count(now, fingerprint, crashes);
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -12,12 +12,21 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
+use crate::body::BodyStore;
 use crate::metrics::Metrics;
 use crate::options::Options;
 use crate::pool::Pools;
 use crate::state::State;
 use crate::store_cache::StoreCache;
 
+/// Part of the memory that bodies of requests may take. The rest holds connections, the list of
+/// backend servers and the configuration.
+const REQUEST_MEMORY_FRACTION: usize = 4;
+/// Part of the memory that bodies of responses may take.
+const RESPONSE_MEMORY_FRACTION: usize = 8;
+/// Bytes of each response that do not count towards that part.
+const SMALL_RESPONSE_BYTES: usize = 16 << 10;
+
 /// State shared by all tasks of a gateway process.
 pub struct Node {
     /// The platform's settings for this VM; replaced when their file changes.
@@ -32,6 +41,10 @@
     pub cache: Mutex<StoreCache>,
     /// Connections to backend servers.
     pub pools: Pools,
+    /// Bodies of callers' requests that this VM holds.
+    pub request_bodies: BodyStore,
+    /// Bodies of backend servers' responses that this VM holds.
+    pub response_bodies: BodyStore,
     /// Socket for datagrams of other VMs.
     pub socket: UdpSocket,
     /// Counters and histograms.
@@ -64,6 +77,7 @@
         let mut random = SmallRng::seed_from_u64(seed);
         let incarnation = random.random::<u64>().max(1);
         let capacity = boot_config.cpu_cores;
+        let memory = boot_config.memory_bytes;
         let state = State {
             backends: Backends::default(),
             entries: Default::default(),
@@ -79,6 +93,7 @@
             leader_seen: None,
             store_seen: None,
             unsent_evidence: Default::default(),
+            unsent_notices: Default::default(),
             placement_weights: PlacementWeights::default(),
         };
         Arc::new(Node {
@@ -88,6 +103,11 @@
             config: ArcSwapOption::empty(),
             cache: Mutex::default(),
             pools: Pools::default(),
+            request_bodies: BodyStore::new(memory / REQUEST_MEMORY_FRACTION, 0),
+            response_bodies: BodyStore::new(
+                memory / RESPONSE_MEMORY_FRACTION,
+                SMALL_RESPONSE_BYTES,
+            ),
             socket,
             metrics: Metrics::new(),
             heartbeat_wake: Notify::new(),
@@ -115,6 +135,11 @@
         lock(&self.cache)
     }
 
+    /// Returns a random number in [0, 1) from the seeded generator.
+    pub fn random_fraction(&self) -> f64 {
+        lock(&self.random).random()
+    }
+
     /// Returns a random number from the seeded generator.
     pub fn random(&self) -> u64 {
         lock(&self.random).random()
--- a/components/gateway/src/periodic.rs
+++ b/components/gateway/src/periodic.rs
@@ -9,6 +9,7 @@
     notify_domain, own_heartbeat, send_demand, send_demand_changes, send_evidence,
 };
 use crate::node::Node;
+use crate::notices::send_notices;
 use crate::relay::update_relays;
 use crate::slot::serve_queue;
 
@@ -93,7 +94,10 @@
     loop {
         tokio::select! {
             _ = demand_changes.tick() => send_demand_changes(&node).await,
-            _ = evidence.tick() => send_evidence(&node).await,
+            _ = evidence.tick() => {
+                send_evidence(&node).await;
+                send_notices(&node).await;
+            }
             _ = demand.tick() => {
                 send_demand(&node).await;
                 update_relays(&node);
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -13,12 +13,17 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 
+use crate::backend_stream::{BackendStream, HeadAllowance};
+
 /// Time without acknowledgement after which the kernel closes a connection. Leaves time to
 /// retransmit a few lost packets.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Maximum number of idle connections kept per backend server.
 const MAX_IDLE_PER_BACKEND: usize = 8;
 
+/// Size of the buffer of a connection, and with it of a response head.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// Why a request got no response.
 #[derive(Debug)]
 pub enum SendError {
@@ -31,7 +36,7 @@
 }
 
 struct Idle {
-    sender: SendRequest<Full<Bytes>>,
+    connection: Connection,
     since: Instant,
     max_idle: Duration,
 }
@@ -39,6 +44,7 @@
 /// A connection for one request at a time; closed when it is dropped.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    allowance: HeadAllowance,
 }
 
 /// Opens a connection within `timeout`.
@@ -51,13 +57,18 @@
     SockRef::from(&stream)
         .set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
         .map_err(SendError::Connect)?;
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(|_| SendError::Closed)?;
+    let allowance = HeadAllowance::default();
+    let stream = BackendStream::new(stream, allowance.clone());
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|_| SendError::Closed)?;
     tokio::spawn(async move {
         // The task that waits for the response sees the same error.
         let _ = connection.await;
     });
-    Ok(Connection { sender })
+    Ok(Connection { sender, allowance })
 }
 
 /// Pools of idle connections to backend servers.
@@ -67,7 +78,7 @@
 }
 
 impl Pools {
-    fn take(&self, key: BackendKey, max_idle: Duration) -> Option<SendRequest<Full<Bytes>>> {
+    fn take(&self, key: BackendKey, max_idle: Duration) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.get_mut(&key)?;
         while let Some(last) = list.pop() {
@@ -79,9 +90,11 @@
                 }
                 return None;
             }
-            if !last.sender.is_closed() {
-                return Some(last.sender);
+            if last.connection.sender.is_ready() {
+                return Some(last.connection);
             }
+            // A connection that is not ready is closed, or its backend server still reads the
+            // request that it has answered; the next request would wait for it or be lost with it.
         }
         None
     }
@@ -94,8 +107,8 @@
         max_idle: Duration,
         timeout: Duration,
     ) -> Result<Connection, SendError> {
-        if let Some(sender) = self.take(key, max_idle) {
-            return Ok(Connection { sender });
+        if let Some(connection) = self.take(key, max_idle) {
+            return Ok(connection);
         }
         open(address, timeout).await
     }
@@ -105,7 +118,7 @@
     pub fn release(&self, key: BackendKey, connection: Connection, max_idle: Duration) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.entry(key).or_default();
-        list.push(Idle { sender: connection.sender, since: Instant::now(), max_idle });
+        list.push(Idle { connection, since: Instant::now(), max_idle });
         if list.len() > MAX_IDLE_PER_BACKEND {
             list.remove(0);
         }
@@ -115,7 +128,7 @@
     pub fn prune(&self, mut is_known: impl FnMut(BackendKey) -> bool) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|key, list| {
-            list.retain(|i| i.since.elapsed() <= i.max_idle && !i.sender.is_closed());
+            list.retain(|i| i.since.elapsed() <= i.max_idle && !i.connection.sender.is_closed());
             is_known(*key) && !list.is_empty()
         });
     }
@@ -132,7 +145,11 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        match self.sender.try_send_request(request).await {
+        // The head, and what the library reads ahead of the body.
+        self.allowance.set(2 * MAX_BUFFER_BYTES);
+        let result = self.sender.try_send_request(request).await;
+        self.allowance.set(usize::MAX);
+        match result {
             Ok(response) => Ok(response),
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(SendError::Closed),
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -13,9 +13,10 @@
 use kernel::prelude::*;
 
 use crate::exchange::{
-    BackendResponse, OutgoingRequest, SendOutcome, exchange, is_alive, read_body,
+    BackendResponse, OutgoingRequest, SendOutcome, exchange, is_alive, read_response_body,
 };
 use crate::node::Node;
+use crate::notices::record_notice;
 use crate::pool::{SendError, open};
 use crate::response::{CallerResponse, build_response};
 
@@ -77,8 +78,10 @@
     let Ok(head) = decode_request_head(&parts.headers) else {
         return unsent("the relayed request has no id");
     };
-    let Ok(body) = read_body(body).await else {
-        return unsent("the relayed request did not arrive whole");
+    let deadline = node.now() + head.deadline.unwrap_or_default();
+    let store = &node.request_bodies;
+    let Ok(body) = store.read(body, store.limit()).await else {
+        return unsent("the relay has no room for the request, or it did not arrive whole");
     };
     parts.headers.remove(CONTENT_LENGTH);
     let outgoing = OutgoingRequest {
@@ -88,11 +91,13 @@
         body,
         request_id: head.request_id,
         idempotent: task == TASK_IDEMPOTENT,
+        deadline,
     };
     match exchange(&node, key, address, false, outgoing).await {
         SendOutcome::Completed(response) => relayed_response(response),
         SendOutcome::Unsent(cause) => unsent(&cause),
         SendOutcome::Stale => unsent("the relay's idle connection was closed"),
+        SendOutcome::Withheld(cause) => unsent(cause),
         SendOutcome::Broken(cause) => {
             outcome_response(StatusCode::BAD_GATEWAY, OUTCOME_BROKEN, &cause)
         }
@@ -142,6 +147,7 @@
 pub async fn exchange_through(
     node: &Node,
     vm: Incarnation,
+    key: BackendKey,
     entry: &BackendEntry,
     outgoing: OutgoingRequest,
 ) -> SendOutcome {
@@ -155,7 +161,7 @@
     };
     let (mut parts, incoming) = response.into_parts();
     let outcome = parts.headers.remove(OUTCOME_HEADER);
-    let body = match read_body(incoming).await {
+    let body = match read_response_body(node, incoming).await {
         Ok(body) => body,
         Err(cause) => return SendOutcome::Broken(cause),
     };
@@ -168,6 +174,7 @@
         };
     }
     let head = decode_response_head(parts.status, &parts.headers);
+    record_notice(node, key, &head);
     SendOutcome::Completed(BackendResponse {
         status: parts.status,
         headers: parts.headers,
--- a/components/gateway/src/slot.rs
+++ b/components/gateway/src/slot.rs
@@ -1,8 +1,8 @@
 use std::sync::Arc;
 
 use dispatch::{
-    BackendKey, BackendState, Coverage, Distance, Placement, PlacementRequest, Waiter, WaiterId,
-    place,
+    Availability, BackendKey, BackendState, Coverage, Distance, Placement, PlacementRequest,
+    QueueCapacity, Waiter, WaiterId, place,
 };
 use kernel::prelude::*;
 use tokio::sync::oneshot;
@@ -80,7 +80,9 @@
     let request = PlacementRequest {
         value: params.value,
         retryable: params.retryable,
-        size_kb: params.estimate.size_kb,
+        // The size of the body is known, that of the response is not.
+        size_kb: params.estimate.size_kb.max(params.body_kb),
+        body_kb: params.body_kb,
         expected_s: params.estimate.time_s,
         remaining_s: params.objective_deadline.saturating_sub(now).as_secs_f64(),
         tried: &params.tried,
@@ -134,8 +136,8 @@
 pub enum NoSlot {
     /// No backend server is left that it could be sent to.
     NoBackend,
-    /// The queue is too long, or no slot became free in time.
-    QueueFull {
+    /// The queue is too long, no slot became free in time, or all backend servers are paused.
+    Rejected {
         /// Retry-After for the caller.
         retry_after: Duration,
     },
@@ -152,6 +154,8 @@
     let slot = |key| Slot { node: Arc::clone(node), key, service: service.clone() };
     let (receiver, guard) = {
         let now = node.now();
+        let spread = node.random_fraction();
+        let mut available_at = now;
         let mut state = node.state();
         match choose_placement(node, &mut state, now, &params) {
             Placement::Send(key) => {
@@ -159,25 +163,31 @@
                 return Ok(slot(key));
             }
             Placement::NoBackend => return Err(NoSlot::NoBackend),
+            Placement::Paused(until) => available_at = until,
             Placement::Wait => {}
         }
-        let slots: u32 = state
+        let slots = state
             .backends
             .of_service(&service)
-            .filter(|(_, b)| !b.entry.draining && distance_of(node, b) == Distance::Domain)
-            .map(|(_, b)| b.entry.slots)
-            .sum();
+            .filter(|(_, b)| distance_of(node, b) == Distance::Domain)
+            .filter(|(_, b)| match b.availability(now) {
+                Availability::Ready => true,
+                Availability::Paused(until) => until <= available_at,
+                Availability::Leaving => false,
+            })
+            .fold(0_u32, |sum, (_, b)| sum.saturating_add(b.entry.slots));
         let expected_s = params.estimate.time_s;
+        let capacity = QueueCapacity { slots, expected_s, available_at };
         let id = node.random();
         let waiter = Waiter { priority, start_deadline, queued_at: now };
         let service_state = state.services.entry(service.clone()).or_default();
         if start_deadline < now + MIN_QUEUE_WAIT {
-            return Err(NoSlot::QueueFull { retry_after: Duration::from_secs_f64(expected_s) });
+            return Err(NoSlot::Rejected { retry_after: Duration::from_secs_f64(expected_s) });
         }
         service_state
             .queue
-            .enqueue(now, id, waiter, slots, expected_s)
-            .map_err(|rejected| NoSlot::QueueFull { retry_after: rejected.retry_after })?;
+            .enqueue(now, id, waiter, capacity, spread)
+            .map_err(|rejected| NoSlot::Rejected { retry_after: rejected.retry_after })?;
         let (wake, receiver) = oneshot::channel();
         service_state.queued.insert(id, QueuedRequest { waiter, params, wake });
         drop(state);
@@ -192,7 +202,7 @@
         // A slot may have been assigned between the timeout and leaving the queue.
         _ => match receiver.try_recv() {
             Ok(key) => Ok(slot(key)),
-            Err(_) => Err(NoSlot::QueueFull { retry_after: Duration::from_millis(500) }),
+            Err(_) => Err(NoSlot::Rejected { retry_after: Duration::from_millis(500) }),
         },
     }
 }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -1,8 +1,9 @@
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use dispatch::{
     BackendEntry, BackendKey, Backends, CrashSuspects, Election, Evidence, OutcomeWindow,
-    PlacementWeights, Quota, TrafficSplit, WaitQueue, Waiter, WaiterId, WindowedRetryBudget,
+    PlacementWeights, Quota, StartKey, TrafficSplit, WaitQueue, Waiter, WaiterId,
+    WindowedRetryBudget,
 };
 use kernel::prelude::*;
 use tokio::sync::oneshot;
@@ -60,6 +61,8 @@
     pub retryable: bool,
     /// Expected service time and size.
     pub estimate: RouteEstimate,
+    /// Size of the body, in kilobytes.
+    pub body_kb: f64,
     /// When the latency objective of the route expires.
     pub objective_deadline: Uptime,
     /// Backend servers that were tried before.
@@ -123,6 +126,8 @@
     pub store_seen: Option<Uptime>,
     /// Evidence to send to the leaders.
     pub unsent_evidence: UnsentEvidence,
+    /// Starts of backend servers whose notices were not sent to other VMs yet.
+    pub unsent_notices: BTreeSet<StartKey>,
     /// Weights of the placement decision.
     pub placement_weights: PlacementWeights,
 }
--- a/components/gateway/src/store_watch.rs
+++ b/components/gateway/src/store_watch.rs
@@ -16,6 +16,9 @@
 /// been written up to one interval earlier.
 const MIN_OUTAGE_HEARTBEATS: u32 = 2;
 
+/// Upper bound of the text of an error in the log: some errors quote what another writer wrote.
+const MAX_ERROR_CHARS: usize = 200;
+
 /// Whether this VM should watch the store now.
 fn should_watch(node: &Node) -> bool {
     let now = node.now();
@@ -134,13 +137,17 @@
     }
 }
 
+/// Takes over a row. One that is invalid names no backend server; its value, which may be large, is
+/// neither kept nor sent to other VMs.
 fn put_row(table: &mut BackendTable, row: StoreRow) {
-    if let Some(value) = &row.value
-        && let Err(error) = decode_backend(&row.key, value)
-    {
-        telemetry::event!(ENTRY_UNREADABLE, backend = row.key, error = error.to_string());
-    }
-    table.put(row);
+    let decoded = row.value.as_deref().map(|value| decode_backend(&row.key, value));
+    let Some(Err(error)) = decoded else {
+        table.put(row);
+        return;
+    };
+    let error: String = error.to_string().chars().take(MAX_ERROR_CHARS).collect();
+    telemetry::event!(ENTRY_UNREADABLE, backend = row.key, error = error);
+    table.put(StoreRow { value: None, ..row });
 }
 
 /// Watches the table of backend servers while this VM is responsible for it.
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -11,7 +11,9 @@
 use tarpc::tokio_serde::formats::Json;
 use tokio::net::TcpListener;
 
+use crate::datagram::BackendNotice;
 use crate::node::Node;
+use crate::notices::{active_notices, merge_notices};
 use crate::store_cache::{StoreCache, apply_backends, apply_configuration, decode_with_checksum};
 
 /// Timeout for pulling the configuration and list of backend servers from another VM.
@@ -42,6 +44,9 @@
     /// Version of the list of backend servers.
     #[serde(rename = "backends")]
     pub backends_version: u64,
+    /// What backend servers have said about themselves.
+    #[serde(default)]
+    pub notices: Vec<BackendNotice>,
 }
 
 /// Entries of backend servers: the complete list, or the changes since the requested version.
@@ -99,11 +104,12 @@
 
 impl Sync for SyncServer {
     async fn knowledge(self, _: Context, version: ConfigVersion, backends: u64) -> SyncReply {
+        let notices = active_notices(&self.0);
         let cache = self.0.cache();
         let newer = cache.config_version > version;
         let configuration = cache.configuration.as_deref().filter(|_| newer).and_then(utf8_text);
         let rows = (cache.backends_version > backends).then(|| rows_since(&cache, backends));
-        SyncReply { configuration, rows, backends_version: cache.backends_version }
+        SyncReply { configuration, rows, backends_version: cache.backends_version, notices }
     }
 }
 
@@ -188,6 +194,8 @@
         (cache.config_version, cache.backends_version)
     };
     let Some(reply) = request_newer(address, version, backends_version).await else { return };
+    // Before the list, so that a backend server that has left is not used in between.
+    merge_notices(&node, &reply.notices);
     if let Some(text) = &reply.configuration {
         apply_configuration(&node, text.as_bytes(), &source);
     }
--- a/components/telemetry/src/catalogue.rs
+++ b/components/telemetry/src/catalogue.rs
@@ -140,6 +140,10 @@
         "Check the backend server; see event 702 if the same request crashes another one.";
     ENTRY_UNREADABLE = 907, Warn, "entry-unreadable", "A row in the table of backend servers is invalid.",
         "Find its writer.";
+    BACKEND_LEAVING = 908, Info, "backend-leaving", "A backend server says in its responses that it is leaving; it gets no new requests.",
+        "Nothing, if it is being stopped.";
+    BACKEND_PAUSED = 909, Warn, "backend-paused", "A backend server turned a request away and asked for a pause; it gets no requests until then.",
+        "Add backend servers to the service if it repeats.";
     WATCH_LOST = 911, Warn, "watch-lost", "A watch of the store failed; the cached state stays in use.",
         "Restore the platform if it persists; other VMs of the failure domain watch meanwhile.";
     WATCH_BACK = 912, Info, "watch-back", "A watch of the store works again.",
--- a/tools/harness/src/gateway.rs
+++ b/tools/harness/src/gateway.rs
@@ -11,6 +11,7 @@
 use serde_json::{Value, json};
 use standins::gateway_backend::GatewayBackend;
 use standins::gateway_store::GatewayStore;
+use standins::raw_backend::{RawBackend, Script};
 use standins::wire;
 use tokio::net::TcpListener;
 
@@ -33,6 +34,12 @@
     pub store: GatewayStore,
     /// Gateway processes in the order of their start.
     pub processes: Vec<Process>,
+    /// Memory of the VMs that start from now on, in megabytes, as their settings state it.
+    pub memory_mb: u32,
+    /// Maximum size of a request body in the configurations written from now on, in bytes.
+    pub max_body_bytes: usize,
+    /// Idle timeout of callers' connections in the configurations written from now on.
+    pub idle_timeout: Duration,
     program: OsString,
     folder: PathBuf,
     net: [u8; 2],
@@ -41,8 +48,10 @@
 
 impl Drop for GatewayFleet {
     fn drop(&mut self) {
-        // An error is ignored, since the folder is in the temporary directory.
-        let _ = std::fs::remove_dir_all(&self.folder);
+        if !std::thread::panicking() && std::env::var_os("PAPAYAREEL_KEEP_LOGS").is_none() {
+            // An error is ignored, since the folder is in the temporary directory.
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
     }
 }
 
@@ -58,7 +67,17 @@
         let listener = TcpListener::bind((ip(net, 1), 0)).await?;
         let store = GatewayStore::serve(listener)?;
         let processes = Vec::new();
-        Ok(GatewayFleet { store, processes, program: program.into(), folder, net, version: 1 })
+        Ok(GatewayFleet {
+            store,
+            processes,
+            memory_mb: 160,
+            max_body_bytes: 1000,
+            idle_timeout: Duration::from_secs(15),
+            program: program.into(),
+            folder,
+            net,
+            version: 1,
+        })
     }
 
     /// Returns the address of a VM for callers.
@@ -84,7 +103,7 @@
             },
             "internal_port_range": [FIRST_PEER_PORT, FIRST_PEER_PORT + 15],
             "seeds": [format!("{}:1", self::ip(self.net, 10))],
-            "limits": {"cpu_share": 0.2, "cores": 1},
+            "limits": {"cpu_share": 0.2, "cores": 1, "memory_mb": self.memory_mb},
             "heartbeat_interval_ms": 1500,
             "bounds": {
                 "grace_period_s": 6, "ttl_max_s": 5, "retry_budget_ratio": 0.2,
@@ -146,6 +165,19 @@
         Ok(backend)
     }
 
+    /// Starts a backend server that sends the bytes of a script, and registers it in the store as
+    /// ready.
+    pub async fn start_raw_backend(
+        &self,
+        number: u8,
+        domain: &str,
+        script: Script,
+    ) -> anyhow::Result<RawBackend> {
+        let backend = RawBackend::serve(self.bind_backend(number).await?, script)?;
+        self.register_backend(number, domain, backend.address(), "ready");
+        Ok(backend)
+    }
+
     /// Writes the entry of a backend server into the store.
     pub fn register_backend(&self, number: u8, domain: &str, address: SocketAddr, state: &str) {
         let mut entry = wire::backend_entry("scripts", address, domain, state, 1);
@@ -153,6 +185,13 @@
         self.store.put("servers", &format!("i-{number}"), &entry);
     }
 
+    /// Writes the entry of a backend server that has started again under its id.
+    pub fn restart_backend(&self, number: u8, domain: &str, address: SocketAddr) {
+        let mut entry = wire::backend_entry("scripts", address, domain, "ready", 1);
+        entry["born"] = json!(6);
+        self.store.put("servers", &format!("i-{number}"), &entry);
+    }
+
     /// Writes a configuration in which the organisation `north` has these keys; returns its version.
     pub fn write_config(&mut self, keys: &[&str]) -> u64 {
         self.version += 3;
@@ -165,13 +204,14 @@
         let config = json!({"version": format!("r{}", self.version), "resources": [
             route("read", "/read/", "safe"),
             route("write", "/write/", "unsafe"),
+            route("upload", "/upload/", "upload"),
             {"resource_type": "services", "metadata": {"name": "scripts"}, "spec": {
                 "health_check_path": "/health", "max_connections": 100}},
             {"resource_type": "tenants", "metadata": {"name": "north"}, "spec": {
                 "api_keys": keys, "rate_per_s": 500, "burst": 500}},
             {"resource_type": "limits", "metadata": {}, "spec": {
-                "max_header_bytes": 16384, "max_body_bytes": 1000, "header_timeout_ms": 3000,
-                "idle_timeout_ms": 15000}},
+                "max_header_bytes": 16384, "max_body_bytes": self.max_body_bytes, "header_timeout_ms": 3000,
+                "idle_timeout_ms": self.idle_timeout.as_millis() as u64}},
         ]});
         self.store.put("op", "config", &config);
         self.version
--- a/tools/soak/src/faults.rs
+++ b/tools/soak/src/faults.rs
@@ -97,6 +97,9 @@
                     BackendMode::Hanging,
                     BackendMode::LosingResponses,
                     BackendMode::WrongRequestId,
+                    BackendMode::NoRequestId,
+                    BackendMode::MisleadingStatus,
+                    BackendMode::Pausing,
                 ];
                 self.backends[backend].set_mode(modes[random.random_range(0..modes.len())]);
             }
--- a/tools/standins/src/gateway_backend.rs
+++ b/tools/standins/src/gateway_backend.rs
@@ -2,7 +2,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -38,6 +38,14 @@
     WrongRequestId,
     /// Responds with success, but without its signature.
     Unsigned,
+    /// Responds with success, but names no request.
+    NoRequestId,
+    /// Runs them and responds with 503, without the header that says it did not run them.
+    MisleadingStatus,
+    /// Runs them, and says in each response that it is leaving.
+    Leaving,
+    /// Turns them away and asks for a pause of 1.5 s.
+    Pausing,
     /// Crashes when it begins to run a request: closes the connection and accepts no other one.
     Crashing,
 }
@@ -49,6 +57,10 @@
     pub runs: BTreeMap<String, u32>,
     /// Headers of the last request.
     pub headers: BTreeMap<String, String>,
+    /// Time of each request, whether it was run or not.
+    pub arrivals: Vec<Instant>,
+    /// Bytes of the bodies of all requests that were run.
+    pub body_bytes: usize,
 }
 
 #[derive(Default)]
@@ -172,7 +184,9 @@
 fn record_headers(state: &Mutex<State>, request: &Request<Incoming>) {
     let text = |v: &HeaderValue| String::from_utf8_lossy(v.as_bytes()).into_owned();
     let headers = request.headers().iter().map(|(n, v)| (n.as_str().to_owned(), text(v)));
-    lock(state).observed.headers = headers.collect();
+    let mut state = lock(state);
+    state.observed.headers = headers.collect();
+    state.observed.arrivals.push(Instant::now());
 }
 
 async fn handle_request(
@@ -199,10 +213,18 @@
         let headers = [id_header, ("not-executed", "1"), ("server-load", "0,0,4")];
         return Ok(build_response(StatusCode::SERVICE_UNAVAILABLE, &headers, ""));
     }
+    if mode == BackendMode::Pausing {
+        let headers = [id_header, ("not-executed", "1"), ("retry-after", "1.5")];
+        return Ok(build_response(StatusCode::SERVICE_UNAVAILABLE, &headers, ""));
+    }
     // The complete body is read before the request runs.
     let path = request.uri().to_string();
     let body = request.into_body().collect().await.map(|b| b.to_bytes()).unwrap_or_default();
-    *lock(state).observed.runs.entry(request_id.clone()).or_default() += 1;
+    {
+        let observed = &mut lock(state).observed;
+        *observed.runs.entry(request_id.clone()).or_default() += 1;
+        observed.body_bytes += body.len();
+    }
     let _in_flight = InFlightGuard::begin(state);
     let signature = format!("{id}.{}", body.len());
     let signature_header = ("response-signature", signature.as_str());
@@ -225,7 +247,19 @@
             Ok(build_response(StatusCode::OK, &[wrong_id, signature_header], "crossed"))
         }
         BackendMode::Unsigned => Ok(build_response(StatusCode::OK, &[id_header], "unsigned")),
-        BackendMode::Normal | BackendMode::Shedding => {
+        BackendMode::NoRequestId => {
+            Ok(build_response(StatusCode::OK, &[signature_header], "of no request"))
+        }
+        BackendMode::MisleadingStatus => Ok(build_response(
+            StatusCode::SERVICE_UNAVAILABLE,
+            &[id_header, signature_header],
+            "it ran",
+        )),
+        BackendMode::Leaving => {
+            let leaving = ("server-leaving", "1");
+            Ok(build_response(StatusCode::OK, &[id_header, signature_header, leaving], &path))
+        }
+        BackendMode::Normal | BackendMode::Shedding | BackendMode::Pausing => {
             tokio::time::sleep(service_time).await;
             let load = ("server-load", "1,0,4");
             Ok(build_response(StatusCode::OK, &[id_header, signature_header, load], &path))
--- a/tools/standins/src/gateway_store.rs
+++ b/tools/standins/src/gateway_store.rs
@@ -134,6 +134,17 @@
         self.change(|tables| tables.write(table, key, Some(text)));
     }
 
+    /// Writes a row with arbitrary bytes.
+    pub fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
+        let text = encode_base64(value);
+        self.change(|tables| tables.write(table, key, Some(text)));
+    }
+
+    /// Writes a row whose value is not base64.
+    pub fn put_raw_text(&self, table: &str, key: &str, text: &str) {
+        self.change(|tables| tables.write(table, key, Some(text.to_owned())));
+    }
+
     /// Deletes a row.
     pub fn delete_row(&self, table: &str, key: &str) {
         self.change(|tables| tables.write(table, key, None));
--- a/tools/standins/src/lib.rs
+++ b/tools/standins/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod gateway_store;
 /// Stand-in for the platform: transactional table, object store and list of VMs.
 pub mod platform;
+/// Stand-in for a backend server that sends arbitrary bytes.
+pub mod raw_backend;
 mod response;
 mod server;
 /// Names and messages of the gateway's protocols, for tests.
--- /dev/null
+++ b/tools/standins/src/raw_backend.rs
@@ -0,0 +1,149 @@
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+
+use crate::acceptor::lock;
+
+/// Step of a response, byte by byte.
+#[derive(Clone, Debug)]
+pub enum RawStep {
+    /// Sends bytes.
+    Send(Vec<u8>),
+    /// Waits.
+    Wait(Duration),
+    /// Sends the same bytes again and again, with a pause between, until the peer closes.
+    Repeat(Vec<u8>, Duration),
+    /// Closes the connection; without it the next request is read from the connection.
+    Close,
+    /// Resets the connection.
+    Reset,
+}
+
+/// What a raw backend server has observed.
+#[derive(Clone, Debug, Default)]
+pub struct RawObserved {
+    /// Number of complete requests by request id.
+    pub runs: BTreeMap<String, u32>,
+    /// Connections accepted.
+    pub opened: u32,
+    /// Connections that have ended, on either side.
+    pub closed: u32,
+    /// Bytes sent.
+    pub sent_bytes: u64,
+}
+
+/// Builds the steps of the response to the request with an id; the number counts the requests of
+/// the connection from 0.
+pub type Script = Arc<dyn Fn(&str, u32) -> Vec<RawStep> + Send + Sync>;
+
+/// A backend server whose responses are bytes of the test's choice. It stops when it is dropped.
+pub struct RawBackend {
+    address: SocketAddr,
+    observed: Arc<Mutex<RawObserved>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for RawBackend {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl RawBackend {
+    /// Serves a script on the listener.
+    pub fn serve(listener: TcpListener, script: Script) -> io::Result<RawBackend> {
+        let address = listener.local_addr()?;
+        let observed: Arc<Mutex<RawObserved>> = Arc::default();
+        let shared = Arc::clone(&observed);
+        let task = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                lock(&shared).opened += 1;
+                let (script, shared) = (Arc::clone(&script), Arc::clone(&shared));
+                tokio::spawn(async move {
+                    // An error means that the peer has closed the connection.
+                    let _ = serve_connection(stream, script, &shared).await;
+                    lock(&shared).closed += 1;
+                });
+            }
+        });
+        Ok(RawBackend { address, observed, task })
+    }
+
+    /// Returns the listen address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns what it has observed so far.
+    pub fn observed(&self) -> RawObserved {
+        lock(&self.observed).clone()
+    }
+}
+
+/// A signed response with a body, for a script.
+pub fn raw_response(id: &str, body: &str) -> Vec<u8> {
+    let length = body.len();
+    format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: raw\r\n\
+         Content-Length: {length}\r\n\r\n{body}"
+    )
+    .into_bytes()
+}
+
+/// Reads a request; returns its id, or `None` at the end of the connection.
+async fn read_request(stream: &mut TcpStream, read: &mut Vec<u8>) -> io::Result<Option<String>> {
+    let mut chunk = [0; 4096];
+    loop {
+        let text = String::from_utf8_lossy(read).into_owned();
+        if let Some(end) = text.find("\r\n\r\n") {
+            let field = |name: &str| {
+                let lines = text[..end].lines().filter_map(|line| line.split_once(':'));
+                let mut values = lines.filter(|(n, _)| n.eq_ignore_ascii_case(name));
+                values.next().map(|(_, value)| value.trim().to_owned())
+            };
+            let length: usize =
+                field("content-length").and_then(|value| value.parse().ok()).unwrap_or(0);
+            if read.len() >= end + 4 + length {
+                read.drain(..end + 4 + length);
+                return Ok(Some(field("request-id").unwrap_or_default()));
+            }
+        }
+        match stream.read(&mut chunk).await? {
+            0 => return Ok(None),
+            count => read.extend_from_slice(&chunk[..count]),
+        }
+    }
+}
+
+async fn serve_connection(
+    mut stream: TcpStream,
+    script: Script,
+    observed: &Mutex<RawObserved>,
+) -> io::Result<()> {
+    let mut read = Vec::new();
+    let mut number = 0;
+    while let Some(id) = read_request(&mut stream, &mut read).await? {
+        *lock(observed).runs.entry(id.clone()).or_default() += 1;
+        for step in script(&id, number) {
+            match step {
+                RawStep::Send(bytes) => stream.write_all(&bytes).await?,
+                RawStep::Wait(time) => tokio::time::sleep(time).await,
+                RawStep::Repeat(bytes, pause) => loop {
+                    stream.write_all(&bytes).await?;
+                    lock(observed).sent_bytes += bytes.len() as u64;
+                    tokio::time::sleep(pause).await;
+                },
+                RawStep::Close => return Ok(()),
+                RawStep::Reset => return stream.set_zero_linger(),
+            }
+        }
+        number += 1;
+    }
+    Ok(())
+}
