Read callers' connections ahead, and close them without loss

Cause: (1) the HTTP library reads a request only after the previous response, so that a caller with several requests in transit could leave unnoticed and its request ran on. (2) A connection that the gateway closes with unread bytes is reset, which drops the end of the last response. (3) At the end of a planned stop the backlog of the listener was reset.

Requests sent ahead run one after the other.

--- a/components/gateway/src/http_server.rs
+++ b/components/gateway/src/http_server.rs
@@ -1,17 +1,23 @@
 use std::convert::Infallible;
-use std::sync::Arc;
+use std::future::poll_fn;
+use std::pin::pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::Poll;
 use std::time::Duration;
 
+use dispatch::CallerLimits;
+use futures::FutureExt;
 use http::{HeaderValue, Request};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
+use crate::caller_stream::{CallerStream, discard_rest};
 use crate::node::Node;
 use crate::response::CallerResponse;
 
@@ -22,6 +28,12 @@
 /// TCP keepalive: idle time before the first probe, and interval of probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(3);
 
+/// Time for which a connection accepted at the very end of a listener stays open: its first request
+/// may be on its way.
+const MIN_CONNECTION_TIME: Duration = Duration::from_millis(250);
+/// Time for which a caller may go on sending after the last response of a connection.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Handles the requests of a listener.
 pub trait RequestHandler: Clone + Send + Sync + 'static {
     /// Returns the response to a request.
@@ -61,51 +73,165 @@
     handler: impl RequestHandler,
     stop: CancellationToken,
 ) {
-    let graceful = GracefulShutdown::new();
+    let connections = TaskTracker::new();
     loop {
         let accepted = tokio::select! {
             () = stop.cancelled() => break,
             accepted = listener.accept() => accepted,
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
+        match accepted {
+            Ok((stream, _)) => start_connection(&connections, stream, &node, &handler, &stop),
             Err(error) => {
                 telemetry::event!(ACCEPT_FAILED, error = error.to_string());
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
             }
-        };
-        if let Err(error) = configure_socket(&stream) {
-            // The caller has already closed the connection.
-            telemetry::event!(ACCEPT_FAILED, error = error.to_string());
-            continue;
         }
-        let limits = node.config.load().as_ref().map(|c| c.limits).unwrap_or_default();
-        let mut builder = http1::Builder::new();
-        builder
-            .timer(TokioTimer::new())
-            // The library starts this timer at the end of the previous response.
-            .header_read_timeout(limits.idle_timeout + limits.head_timeout)
-            .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BUFFER_BYTES));
+    }
+    // Callers whose connections wait in the backlog would get a reset.
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        start_connection(&connections, stream, &node, &handler, &stop);
+    }
+    drop(listener);
+    connections.close();
+    connections.wait().await;
+}
+
+fn start_connection(
+    connections: &TaskTracker,
+    stream: TcpStream,
+    node: &Arc<Node>,
+    handler: &impl RequestHandler,
+    stop: &CancellationToken,
+) {
+    match configure_socket(&stream) {
+        Ok(()) => {
+            let (node, handler, stop) = (Arc::clone(node), handler.clone(), stop.clone());
+            connections.spawn(serve_connection(stream, node, handler, stop));
+        }
+        // The caller has already closed the connection.
+        Err(error) => telemetry::event!(ACCEPT_FAILED, error = error.to_string()),
+    }
+}
+
+fn caller_limits(node: &Node) -> CallerLimits {
+    node.config.load().as_ref().map(|config| config.limits).unwrap_or_default()
+}
+
+/// Whether a connection has a request in progress.
+struct Activity {
+    /// End of the last request, or the start of the connection; `None` during a request.
+    idle_since: Mutex<Option<Instant>>,
+}
+
+/// Ends the request of a connection on drop.
+struct BusyGuard(Arc<Activity>);
+
+impl Drop for BusyGuard {
+    fn drop(&mut self) {
+        self.0.set(Some(Instant::now()));
+    }
+}
+
+impl Activity {
+    fn new() -> Self {
+        Activity { idle_since: Mutex::new(Some(Instant::now())) }
+    }
+
+    fn set(&self, idle_since: Option<Instant>) {
+        *self.idle_since.lock().unwrap_or_else(PoisonError::into_inner) = idle_since;
+    }
+
+    fn begin(self: &Arc<Self>) -> BusyGuard {
+        self.set(None);
+        BusyGuard(Arc::clone(self))
+    }
+
+    /// Waits until the connection has had no request for as long as the limits in force at that
+    /// time allow, and for the time that the head of a request may take.
+    async fn wait_until_idle(&self, node: &Node) {
+        loop {
+            let limits = caller_limits(node);
+            let limit = limits.idle_timeout + limits.head_timeout;
+            let since = *self.idle_since.lock().unwrap_or_else(PoisonError::into_inner);
+            let end = since.unwrap_or_else(Instant::now) + limit;
+            if Instant::now() >= end {
+                return;
+            }
+            tokio::time::sleep_until(end).await;
+        }
+    }
+}
+
+/// Serves the requests of a connection one after the other, until the caller closes it or a
+/// response does. Requests that the caller has sent behind such a response are not read.
+async fn serve_connection(
+    stream: TcpStream,
+    node: Arc<Node>,
+    handler: impl RequestHandler,
+    stop: CancellationToken,
+) {
+    let limits = caller_limits(&node);
+    let mut builder = http1::Builder::new();
+    // Its timer would keep the limits that were in force when the connection was opened.
+    builder
+        .header_read_timeout(None)
+        .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BUFFER_BYTES));
+    let activity = Arc::new(Activity::new());
+    let mut idle_timer = pin!(activity.wait_until_idle(&node));
+    let service = service_fn(|request| {
         let (node, handler) = (Arc::clone(&node), handler.clone());
-        let service = service_fn(move |request| {
-            let (node, handler) = (Arc::clone(&node), handler.clone());
-            async move {
-                let mut response = handler.handle(Arc::clone(&node), request).await;
-                if node.is_stopping() {
-                    let close = HeaderValue::from_static("close");
-                    response.headers_mut().insert(http::header::CONNECTION, close);
+        let activity = Arc::clone(&activity);
+        async move {
+            let _busy = activity.begin();
+            let mut response = handler.handle(Arc::clone(&node), request).await;
+            if node.is_stopping() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(http::header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let stream = CallerStream::new(stream);
+    let mut closing = pin!(async {
+        let accepted_at = Instant::now();
+        stop.cancelled().await;
+        tokio::time::sleep_until(accepted_at + MIN_CONNECTION_TIME).await;
+    });
+    let mut is_closing = false;
+    {
+        let mut connection = pin!(builder.serve_connection(stream.clone(), service));
+        poll_fn(|cx| {
+            if !is_closing && closing.as_mut().poll(cx).is_ready() {
+                is_closing = true;
+                stream.poll_ahead(cx);
+                if connection.as_mut().poll(cx).is_ready() {
+                    return Poll::Ready(());
                 }
-                Ok::<_, Infallible>(response)
+                connection.as_mut().graceful_shutdown();
+            }
+            if idle_timer.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(());
             }
-        });
-        let connection = builder.serve_connection(TokioIo::new(stream), service);
-        let connection = graceful.watch(connection);
-        tokio::spawn(async move {
-            // Connections broken by callers are normal and not logged.
-            let _ = connection.await;
-        });
+            loop {
+                // Connections broken by callers are normal and not logged.
+                if connection.as_mut().poll(cx).is_ready() {
+                    return Poll::Ready(());
+                }
+                if !stream.poll_ahead(cx) {
+                    return Poll::Pending;
+                }
+                if stream.is_closed() {
+                    // The caller has left: dropping the connection cancels its request.
+                    return Poll::Ready(());
+                }
+            }
+        })
+        .await;
+    }
+    if !stream.is_closed()
+        && let Some(socket) = stream.into_socket()
+    {
+        // A caller that keeps sending is cut off after the timeout.
+        let _ = tokio::time::timeout(DISCARD_TIMEOUT, discard_rest(socket)).await;
     }
-    drop(listener);
-    graceful.shutdown().await;
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 mod backend_stream;
 mod backend_table;
 mod body;
+mod caller_stream;
 mod datagram;
 mod endpoints;
 mod exchange;
