Serve on a starting VM only with data that the store confirms

Cause: a VM that starts takes the configuration and the list of backend servers from another VM. Where that one was cut off from the store, the new VM accepted a withdrawn key for about 0.3 s (43 requests in the new test), because an age that is longer than the process runs was cut to the start of the process, so that data of any age counted as fresh; nothing asked for its age anyway.

Change: confirmations keep their age and when it was learned; a sync carries it. A starting VM serves once its data was confirmed within 2 s, or once its own call to the store has failed or stays without an answer for 1.5 s; it asks the store at once meanwhile.

--- a/components/dispatch/src/store_watch.rs
+++ b/components/dispatch/src/store_watch.rs
@@ -20,6 +20,23 @@
 /// Uptime after which a VM that could not announce itself reads the store nevertheless.
 const UNANNOUNCED_WAIT: Duration = Duration::from_millis(800);
 
+/// Staleness up to which a starting VM serves with the data of another VM. A change of the
+/// configuration must be in force after 2.5 s.
+const MAX_START_STALENESS: Duration = Duration::from_millis(2000);
+/// Time after which a starting VM serves with stale data although its own call to the store has
+/// neither succeeded nor failed.
+const MAX_START_WAIT: Duration = Duration::from_millis(1500);
+
+/// Whether a starting VM may serve with the data that it has from other VMs.
+///
+/// Handles a VM that starts and syncs from one that is cut off from the store, paused or just
+/// resumed: a key that was withdrawn or a backend server that has left would be in use again. The
+/// store itself, or its recent response to another VM, must confirm the data. Stale data is better
+/// than none only if this VM cannot reach the store either.
+pub fn may_start_serving(staleness: Duration, store_failed: bool, waited: Duration) -> bool {
+    staleness <= MAX_START_STALENESS || store_failed || waited > MAX_START_WAIT
+}
+
 /// State from which a VM decides whether to watch the store itself.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WatchConditions {
@@ -33,6 +50,8 @@
     pub since_announced: Option<Duration>,
     /// Whether it has a configuration and a list of backend servers.
     pub synced: bool,
+    /// Whether it has them, but may not serve yet because they are stale.
+    pub unconfirmed: bool,
     /// Time since the store last confirmed its data, to itself or to another VM.
     pub staleness: Duration,
     /// Time since the last heartbeat of the leader; none before the first.
@@ -51,6 +70,9 @@
         if self.is_leader {
             return true;
         }
+        if self.unconfirmed {
+            return true;
+        }
         if !self.synced {
             return match self.since_announced {
                 Some(age) => age > REPLY_WAIT + REPLY_WAIT_STEP * self.rank,
--- a/components/dispatch/tests/store_watch.rs
+++ b/components/dispatch/tests/store_watch.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use dispatch::{Outage, WatchConditions};
+use dispatch::{Outage, WatchConditions, may_start_serving};
 
 fn standby(rank: u32) -> WatchConditions {
     WatchConditions {
@@ -12,6 +12,7 @@
         uptime: Duration::from_secs(60),
         since_announced: Some(Duration::from_secs(59)),
         synced: true,
+        unconfirmed: false,
         staleness: Duration::from_millis(900),
         leader_silence: Some(Duration::from_millis(150)),
         leader_failing: false,
@@ -91,3 +92,15 @@
     assert_eq!(outage.record_success(at(26_000)), Some(at(1_000)));
     assert_eq!(outage.record_success(at(27_000)), None);
 }
+
+// Guards against a VM that starts with the data of one that is cut off from the store, and accepts
+// a key that was withdrawn meanwhile.
+#[test]
+fn starting_vm_does_not_serve_with_stale_data_unless_the_store_is_out_of_its_reach() {
+    let (fresh, stale) = (Duration::from_millis(1500), Duration::from_secs(8));
+    assert!(may_start_serving(fresh, false, Duration::ZERO));
+    assert!(!may_start_serving(stale, false, Duration::from_millis(300)));
+    assert!(may_start_serving(stale, true, Duration::from_millis(300)));
+    assert!(may_start_serving(stale, false, Duration::from_secs(2)));
+    assert!(WatchConditions { unconfirmed: true, ..standby(17) }.should_watch());
+}
--- a/components/gateway/src/admission.rs
+++ b/components/gateway/src/admission.rs
@@ -147,8 +147,9 @@
     if !node.is_synced() {
         wait_until_synced(node, &head).await;
     }
-    let Some(config) = node.config.load_full() else {
-        let message = "this VM has no configuration yet; use another one";
+    let config = node.config.load_full().filter(|_| node.is_synced());
+    let Some(config) = config else {
+        let message = "this VM has no confirmed configuration yet; use another one";
         return Err(Refusal::not_run(RefusalKind::StaleConfiguration, message)
             .retry_after(UNCONFIGURED_RETRY_AFTER));
     };
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -1,3 +1,4 @@
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Instant;
 
@@ -5,6 +6,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use dispatch::{
     Backends, CrashSuspects, Distance, Election, GatewayConfig, PlacementWeights, Quota,
+    may_start_serving,
 };
 use kernel::prelude::*;
 use rand::rngs::SmallRng;
@@ -57,6 +59,11 @@
     pub watch_wake: Notify,
     state: Mutex<State>,
     started: Instant,
+    /// When this VM first had a configuration and a list of backend servers.
+    data_since: OnceLock<Uptime>,
+    /// Set once the data was confirmed, or cannot be. Never reset: later, only changes of the data
+    /// matter, and a watch takes over when it is stale.
+    confirmed: AtomicBool,
     /// When the process was asked to stop.
     stopping: OnceLock<Instant>,
     random: Mutex<SmallRng>,
@@ -115,6 +122,8 @@
             watch_wake: Notify::new(),
             state: Mutex::new(state),
             started: Instant::now(),
+            data_since: OnceLock::new(),
+            confirmed: AtomicBool::new(false),
             stopping: OnceLock::new(),
             random: Mutex::new(random),
         })
@@ -176,10 +185,31 @@
     }
 
     /// Whether this VM has a configuration and a list of backend servers.
-    pub fn is_synced(&self) -> bool {
+    pub fn has_data(&self) -> bool {
         self.config.load().is_some() && self.cache().backends_version > 0
     }
 
+    /// Whether this VM has data with which it may serve.
+    pub fn is_synced(&self) -> bool {
+        self.confirmed.load(Ordering::Relaxed)
+    }
+
+    /// Checks whether the data of a starting VM may be used. Returns whether this has changed.
+    pub fn check_confirmed(&self) -> bool {
+        if self.is_synced() || !self.has_data() {
+            return false;
+        }
+        let now = self.now();
+        let since = *self.data_since.get_or_init(|| now);
+        let (staleness, store_failed) = {
+            let cache = self.cache();
+            (cache.staleness(now), cache.store_failed)
+        };
+        let confirmed = may_start_serving(staleness, store_failed, now.saturating_sub(since));
+        self.confirmed.store(confirmed, Ordering::Relaxed);
+        confirmed
+    }
+
     /// Whether the process was asked to stop.
     pub fn is_stopping(&self) -> bool {
         self.stopping.get().is_some()
--- a/components/gateway/src/periodic.rs
+++ b/components/gateway/src/periodic.rs
@@ -12,6 +12,7 @@
 use crate::notices::send_notices;
 use crate::relay::update_relays;
 use crate::slot::serve_queue;
+use crate::store_cache::update_synced;
 
 /// Interval of polling the election and the wait queues.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -28,6 +29,7 @@
     let mut role = Role::Standby;
     loop {
         ticks.tick().await;
+        update_synced(&node);
         let now = node.now();
         let (next, changed) = {
             let mut state = node.state();
--- a/components/gateway/src/store_cache.rs
+++ b/components/gateway/src/store_cache.rs
@@ -8,6 +8,23 @@
 use crate::node::Node;
 use crate::slot::serve_queue;
 
+/// A confirmation of data by the store. It may be older than this process, and so than any of its
+/// times.
+#[derive(Clone, Copy, Debug)]
+pub struct Confirmation {
+    /// When this VM learned of it.
+    learned_at: Uptime,
+    /// How old it was then.
+    age: Duration,
+}
+
+impl Confirmation {
+    /// Time since the store responded.
+    fn staleness(self, now: Uptime) -> Duration {
+        self.age + now.saturating_sub(self.learned_at)
+    }
+}
+
 /// Local copy of the store's configuration and backend servers, also served to other VMs.
 #[derive(Debug, Default)]
 pub struct StoreCache {
@@ -23,19 +40,21 @@
     pub changes: ChangeLog,
     /// Checksum of `rows`; see [`checksum`].
     pub checksum: u64,
-    /// When the store last confirmed the configuration, directly or through another VM.
-    pub configuration_confirmed: Option<Uptime>,
-    /// When the store last confirmed the backend servers, directly or through another VM.
-    pub backends_confirmed: Option<Uptime>,
+    /// Last confirmation of the configuration by the store, directly or through another VM.
+    configuration_confirmed: Option<Confirmation>,
+    /// Last confirmation of the backend servers by the store, directly or through another VM.
+    backends_confirmed: Option<Confirmation>,
     /// Whether this VM's last call to the store failed.
     pub store_failing: bool,
+    /// Whether any call of this VM to the store has failed.
+    pub store_failed: bool,
 }
 
 impl StoreCache {
     /// Time since the older of the two confirmations; one hour if either is missing.
     pub fn staleness(&self, now: Uptime) -> Duration {
         match (self.configuration_confirmed, self.backends_confirmed) {
-            (Some(a), Some(b)) => now.saturating_sub(a.min(b)),
+            (Some(a), Some(b)) => a.staleness(now).max(b.staleness(now)),
             _ => Duration::from_secs(3600),
         }
     }
@@ -83,8 +102,7 @@
     state.traffic_splits.clear();
     drop(state);
     node.config.store(Some(Arc::new(config)));
-    update_eligibility(node);
-    node.synced.notify_waiters();
+    update_synced(node);
     telemetry::event!(CONFIG_LEARNED, version = version, source = source);
     node.heartbeat_wake.notify_one();
 }
@@ -176,25 +194,35 @@
         serve_queue(node, &mut state, now, &service);
     }
     drop(state);
-    update_eligibility(node);
-    node.synced.notify_waiters();
+    update_synced(node);
     node.heartbeat_wake.notify_one();
 }
 
-/// Makes this VM eligible as leader once it can serve.
-fn update_eligibility(node: &Node) {
-    let eligible = node.is_synced() && !node.is_stopping();
-    node.state().election.set_eligible(eligible);
+/// Makes this VM eligible as leader, and wakes the requests that wait, once it may serve.
+pub fn update_synced(node: &Node) {
+    if node.check_confirmed() {
+        let eligible = !node.is_stopping();
+        node.state().election.set_eligible(eligible);
+        node.synced.notify_waiters();
+        node.heartbeat_wake.notify_one();
+    }
 }
 
 /// Records that the store confirmed the given parts `age` ago.
 pub fn record_confirmation(node: &Node, age: Duration, configuration: bool, backends: bool) {
-    let at = node.now().saturating_sub(age);
+    let now = node.now();
+    let confirm = |known: &mut Option<Confirmation>| {
+        if known.is_none_or(|known| age <= known.staleness(now)) {
+            *known = Some(Confirmation { learned_at: now, age });
+        }
+    };
     let mut cache = node.cache();
     if configuration {
-        cache.configuration_confirmed = cache.configuration_confirmed.max(Some(at));
+        confirm(&mut cache.configuration_confirmed);
     }
     if backends {
-        cache.backends_confirmed = cache.backends_confirmed.max(Some(at));
+        confirm(&mut cache.backends_confirmed);
     }
+    drop(cache);
+    update_synced(node);
 }
--- a/components/gateway/src/store_watch.rs
+++ b/components/gateway/src/store_watch.rs
@@ -34,6 +34,7 @@
         uptime: now,
         since_announced: state.announced_at.map(|at| now.saturating_sub(at)),
         synced,
+        unconfirmed: synced && !node.is_synced(),
         staleness,
         leader_silence: state.leader_seen.map(|at| now.saturating_sub(at)),
         leader_failing: leader
@@ -58,7 +59,11 @@
     /// Records a failed call; returns the delay before the next one.
     fn record_failure(&mut self, node: &Node, started: Uptime, error: &StoreError) -> Duration {
         node.metrics.record_store_call(self.table, false);
-        node.cache().store_failing = true;
+        {
+            let mut cache = node.cache();
+            cache.store_failing = true;
+            cache.store_failed = true;
+        }
         self.failures += 1;
         if self.outage.record_failure(started) {
             telemetry::event!(WATCH_LOST, table = self.table, error = error.to_string());
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -14,7 +14,9 @@
 use crate::datagram::BackendNotice;
 use crate::node::Node;
 use crate::notices::{active_notices, merge_notices};
-use crate::store_cache::{StoreCache, apply_backends, apply_configuration, decode_with_checksum};
+use crate::store_cache::{
+    StoreCache, apply_backends, apply_configuration, decode_with_checksum, record_confirmation,
+};
 
 /// Timeout for pulling the configuration and list of backend servers from another VM.
 const PULL_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -44,6 +46,9 @@
     /// Version of the list of backend servers.
     #[serde(rename = "backends")]
     pub backends_version: u64,
+    /// Time since the store confirmed the data of the sender; none in older releases.
+    #[serde(default)]
+    pub confirmed_ms: Option<u64>,
     /// What backend servers have said about themselves.
     #[serde(default)]
     pub notices: Vec<BackendNotice>,
@@ -109,7 +114,14 @@
         let newer = cache.config_version > version;
         let configuration = cache.configuration.as_deref().filter(|_| newer).and_then(utf8_text);
         let rows = (cache.backends_version > backends).then(|| rows_since(&cache, backends));
-        SyncReply { configuration, rows, backends_version: cache.backends_version, notices }
+        let staleness = cache.staleness(self.0.now());
+        SyncReply {
+            configuration,
+            rows,
+            backends_version: cache.backends_version,
+            confirmed_ms: Some(staleness.as_millis() as u64),
+            notices,
+        }
     }
 }
 
@@ -211,6 +223,14 @@
             None => pull_full_list(&node, address, version).await,
         }
     }
+    if let Some(millis) = reply.confirmed_ms {
+        // Of the versions that this VM had already, the sender may have older ones.
+        let cache = node.cache();
+        let same =
+            (reply.configuration.is_some(), cache.backends_version == reply.backends_version);
+        drop(cache);
+        record_confirmation(&node, Duration::from_millis(millis), same.0, same.1);
+    }
     telemetry::event!(KNOWLEDGE_PULLED, vm = source, backends = reply.backends_version);
 }
 
--- a/tests/untrusted_responses.rs
+++ b/tests/untrusted_responses.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use harness::{GATEWAY_KEY as KEY, GatewayFleet, gateway_request as request, wait_until};
+use harness::{
+    GATEWAY_KEY as KEY, GatewayFleet, gateway_request as request, memory_bytes, wait_until,
+};
 use http::Method;
 use standins::raw_backend::{RawStep, Script, raw_response};
 
@@ -26,14 +28,6 @@
     Ok(fleet)
 }
 
-/// Resident memory of a process.
-fn memory_bytes(process: u32) -> anyhow::Result<u64> {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status"))?;
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let kilobytes = line.and_then(|line| line.split_whitespace().next()).unwrap_or("0");
-    Ok(kilobytes.parse::<u64>()? * 1024)
-}
-
 /// A second copy of each response, after a time, in a manner of its own.
 fn copies(wait: u64, copy: fn(&str) -> Vec<u8>) -> Script {
     script(move |id, _| {
--- a/tools/harness/src/gateway.rs
+++ b/tools/harness/src/gateway.rs
@@ -34,6 +34,9 @@
     pub store: GatewayStore,
     /// Gateway processes in the order of their start.
     pub processes: Vec<Process>,
+    /// Address under which the VMs that start from now on reach the store; that of the store itself
+    /// if there is none.
+    pub store_address: Option<SocketAddr>,
     /// Memory of the VMs that start from now on, in megabytes, as their settings state it.
     pub memory_mb: u32,
     /// Maximum size of a request body in the configurations written from now on, in bytes.
@@ -70,6 +73,7 @@
         Ok(GatewayFleet {
             store,
             processes,
+            store_address: None,
             memory_mb: 160,
             max_body_bytes: 1000,
             idle_timeout: Duration::from_secs(15),
@@ -110,7 +114,7 @@
                 "retry_budget_slack": 60, "budget_window_s": 10, "floor_share": 0.7,
                 "quota_slack": 20,
             },
-            "platform": {"address": self.store.address(), "writes_per_s": 400, "reads_per_s": 2000},
+            "platform": {"address": self.store_address.unwrap_or(self.store.address()), "writes_per_s": 400, "reads_per_s": 2000},
         })
     }
 
--- a/tools/harness/src/lib.rs
+++ b/tools/harness/src/lib.rs
@@ -18,7 +18,7 @@
 pub use gateway::{GATEWAY_HOST, GATEWAY_KEY, GatewayFleet, gateway_request, wait_until};
 pub use layout::{BackendLayout, FleetLayout, VmLayout};
 pub use loopback_net::LoopbackNet;
-pub use process::Process;
+pub use process::{Process, memory_bytes};
 pub use programs::Programs;
 pub use response_kind::ResponseKind;
 pub use sample_config::{KEY, KEY_TO_WITHDRAW, RESTRICTED_KEY, sample_changes, sample_layout};
--- a/tools/harness/src/process.rs
+++ b/tools/harness/src/process.rs
@@ -100,3 +100,12 @@
         let _ = self.child.wait();
     }
 }
+
+/// Resident memory of a process.
+pub fn memory_bytes(process: u32) -> anyhow::Result<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status"))
+        .context("the process has ended")?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().next()).unwrap_or("0");
+    Ok(kilobytes.parse::<u64>().context("no number of kilobytes")? * 1024)
+}
--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -6,4 +6,5 @@
 mod run;
 mod traffic;
 
+pub use proxy::{LinkMode, Proxy};
 pub use run::{Report, SoakOptions, run};
--- a/tools/standins/src/gateway_store.rs
+++ b/tools/standins/src/gateway_store.rs
@@ -20,6 +20,11 @@
 use crate::acceptor::lock;
 use crate::server::query_parameter;
 
+/// Maximum number of rows in a response.
+const MAX_PAGE_ROWS: usize = 500;
+/// Maximum size of the values in a response.
+const MAX_PAGE_BYTES: usize = 1_000_000;
+
 /// How the store handles every call.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum StoreMode {
@@ -65,6 +70,23 @@
     }
 }
 
+/// Takes rows up to the size of a response; returns whether some are left.
+fn take_page(rows: Vec<Value>) -> (Vec<Value>, bool) {
+    let count = rows.len();
+    let mut bytes = 0;
+    let page: Vec<Value> = rows
+        .into_iter()
+        .take(MAX_PAGE_ROWS)
+        .take_while(|row| {
+            let first = bytes == 0;
+            bytes += row["value"].as_str().map_or(0, str::len);
+            first || bytes <= MAX_PAGE_BYTES
+        })
+        .collect();
+    let more = page.len() < count;
+    (page, more)
+}
+
 fn encode_row(table: &str, key: &str, row: &Row) -> Value {
     let mut encoded = json!({
         "table": table, "part": "", "key": key, "row_version": row.version,
@@ -270,8 +292,9 @@
         .iter()
         .filter(|((t, key), row)| *t == table && in_range(key) && row.value.is_some());
     let rows: Vec<Value> = rows.map(|((_, key), row)| encode_row(&table, key, row)).collect();
+    let (rows, more) = take_page(rows);
     let body =
-        json!({"rows": rows, "more_pages": false, "row_version": tables.version, "now_ms": 0});
+        json!({"rows": rows, "more_pages": more, "row_version": tables.version, "now_ms": 0});
     json_response(StatusCode::OK, &body)
 }
 
@@ -293,7 +316,10 @@
             }
             let rows = tables.changes_since(&table, after);
             if !rows.is_empty() || tokio::time::Instant::now() >= deadline {
-                let body = json!({"rows": rows, "row_version": tables.version, "now_ms": 0});
+                let (rows, more) = take_page(rows);
+                let last = rows.last().and_then(|row| row["row_version"].as_u64());
+                let version = last.filter(|_| more).unwrap_or(tables.version);
+                let body = json!({"rows": rows, "row_version": version, "now_ms": 0});
                 return json_response(StatusCode::OK, &body);
             }
         }
