Bound what a backend server may send before a response, in both programs

Cause: the bound on bytes before a complete response head was part of the gateway; papayareeld parsed interim responses without end as well.

Change: components/transport has the connection to a backend server with its bound of 128 KiB before the head is complete; the pools of both programs use it.

--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -7,10 +7,11 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use kernel::Uptime;
+use transport::SendFailure;
 
 use crate::node::Node;
 use crate::notices::record_notice;
-use crate::pool::SendError;
+use crate::pool::OpenError;
 
 /// Maximum size of a response body. Responses are buffered whole, so that a truncated one is
 /// detected before any byte of it reaches the caller.
@@ -135,7 +136,7 @@
     let checkout = node.pools.checkout(key, address, max_idle, timeout).await;
     let mut connection = match checkout {
         Ok(connection) => connection,
-        Err(SendError::Connect(error)) => return SendOutcome::Unsent(error.to_string().into()),
+        Err(OpenError::Connect(error)) => return SendOutcome::Unsent(error.to_string().into()),
         Err(_) => return SendOutcome::Stale,
     };
     if let Some(reason) = withheld_reason(node, key, outgoing.deadline) {
@@ -145,8 +146,8 @@
     let request_id = outgoing.request_id.clone();
     let response = match connection.send(outgoing.into_request()).await {
         Ok(response) => response,
-        Err(SendError::Broken(error)) => return SendOutcome::Broken(error.to_string().into()),
-        Err(_) => return SendOutcome::Stale,
+        Err(SendFailure::Broken(error)) => return SendOutcome::Broken(error.to_string().into()),
+        Err(SendFailure::Unsent) => return SendOutcome::Stale,
     };
     let (parts, incoming) = response.into_parts();
     let head = decode_response_head(parts.status, &parts.headers);
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -2,7 +2,6 @@
 
 mod admission;
 mod attempts;
-mod backend_stream;
 mod backend_table;
 mod body;
 mod caller_stream;
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -3,17 +3,10 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use dispatch::BackendKey;
-use http::{Request, Response};
-use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::TcpStream;
-
-use crate::backend_stream::{BackendStream, HeadAllowance};
+use transport::HttpConnection;
 
 /// Time without acknowledgement after which the kernel closes a connection. Leaves time to
 /// retransmit a few lost packets.
@@ -21,54 +14,34 @@
 /// Maximum number of idle connections kept per backend server.
 const MAX_IDLE_PER_BACKEND: usize = 8;
 
-/// Size of the buffer of a connection, and with it of a response head.
-const MAX_BUFFER_BYTES: usize = 64 << 10;
-
-/// Why a request got no response.
+/// Why no connection was obtained; nothing was sent.
 #[derive(Debug)]
-pub enum SendError {
-    /// The connection could not be opened; nothing was sent.
+pub enum OpenError {
+    /// The connection could not be opened.
     Connect(std::io::Error),
-    /// The connection was closed before anything was sent.
+    /// The connection was closed at once.
     Closed,
-    /// The connection broke after at least part of the request was sent.
-    Broken(hyper::Error),
 }
 
 struct Idle {
-    connection: Connection,
+    connection: HttpConnection,
     since: Instant,
     max_idle: Duration,
 }
 
-/// A connection for one request at a time; closed when it is dropped.
-pub struct Connection {
-    sender: SendRequest<Full<Bytes>>,
-    allowance: HeadAllowance,
-}
-
 /// Opens a connection within `timeout`.
-pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Connection, SendError> {
+pub async fn open(address: SocketAddr, timeout: Duration) -> Result<HttpConnection, OpenError> {
     let stream = tokio::time::timeout(timeout, TcpStream::connect(address))
         .await
-        .map_err(|_| SendError::Connect(std::io::ErrorKind::TimedOut.into()))?
-        .map_err(SendError::Connect)?;
-    stream.set_nodelay(true).map_err(SendError::Connect)?;
+        .map_err(|_| OpenError::Connect(std::io::ErrorKind::TimedOut.into()))?
+        .map_err(OpenError::Connect)?;
+    stream.set_nodelay(true).map_err(OpenError::Connect)?;
     SockRef::from(&stream)
         .set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
-        .map_err(SendError::Connect)?;
-    let allowance = HeadAllowance::default();
-    let stream = BackendStream::new(stream, allowance.clone());
-    let (sender, connection) = http1::Builder::new()
-        .max_buf_size(MAX_BUFFER_BYTES)
-        .handshake(TokioIo::new(stream))
-        .await
-        .map_err(|_| SendError::Closed)?;
-    tokio::spawn(async move {
-        // The task that waits for the response sees the same error.
-        let _ = connection.await;
-    });
-    Ok(Connection { sender, allowance })
+        .map_err(OpenError::Connect)?;
+    let (connection, drive) = HttpConnection::new(stream).await.map_err(|_| OpenError::Closed)?;
+    tokio::spawn(drive);
+    Ok(connection)
 }
 
 /// Pools of idle connections to backend servers.
@@ -78,7 +51,7 @@
 }
 
 impl Pools {
-    fn take(&self, key: BackendKey, max_idle: Duration) -> Option<Connection> {
+    fn take(&self, key: BackendKey, max_idle: Duration) -> Option<HttpConnection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.get_mut(&key)?;
         while let Some(last) = list.pop() {
@@ -90,7 +63,7 @@
                 }
                 return None;
             }
-            if last.connection.sender.is_ready() {
+            if last.connection.is_ready() {
                 return Some(last.connection);
             }
             // A connection that is not ready is closed, or its backend server still reads the
@@ -106,7 +79,7 @@
         address: SocketAddr,
         max_idle: Duration,
         timeout: Duration,
-    ) -> Result<Connection, SendError> {
+    ) -> Result<HttpConnection, OpenError> {
         if let Some(connection) = self.take(key, max_idle) {
             return Ok(connection);
         }
@@ -115,7 +88,7 @@
 
     /// Returns a connection to the pool after its response was read completely. `max_idle` is how
     /// long the backend server keeps it open.
-    pub fn release(&self, key: BackendKey, connection: Connection, max_idle: Duration) {
+    pub fn release(&self, key: BackendKey, connection: HttpConnection, max_idle: Duration) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.entry(key).or_default();
         list.push(Idle { connection, since: Instant::now(), max_idle });
@@ -128,7 +101,7 @@
     pub fn prune(&self, mut is_known: impl FnMut(BackendKey) -> bool) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|key, list| {
-            list.retain(|i| i.since.elapsed() <= i.max_idle && !i.connection.sender.is_closed());
+            list.retain(|i| i.since.elapsed() <= i.max_idle && !i.connection.is_closed());
             is_known(*key) && !list.is_empty()
         });
     }
@@ -138,23 +111,3 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(&key);
     }
 }
-
-impl Connection {
-    /// Sends a request and waits for the response head.
-    pub async fn send(
-        &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendError> {
-        // The head, and what the library reads ahead of the body.
-        self.allowance.set(2 * MAX_BUFFER_BYTES);
-        let result = self.sender.try_send_request(request).await;
-        self.allowance.set(usize::MAX);
-        match result {
-            Ok(response) => Ok(response),
-            Err(mut error) => match error.take_message() {
-                Some(_) => Err(SendError::Closed),
-                None => Err(SendError::Broken(error.into_error())),
-            },
-        }
-    }
-}
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -11,13 +11,14 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use kernel::prelude::*;
+use transport::SendFailure;
 
 use crate::exchange::{
     BackendResponse, OutgoingRequest, SendOutcome, exchange, is_alive, read_response_body,
 };
 use crate::node::Node;
 use crate::notices::record_notice;
-use crate::pool::{SendError, open};
+use crate::pool::open;
 use crate::response::{CallerResponse, build_response};
 
 /// Header with the id of the backend server that a relayed request is for.
@@ -138,8 +139,8 @@
     let mut connection =
         connected.map_err(|_| SendOutcome::Unsent("no connection to the relay".into()))?;
     connection.send(request).await.map_err(|error| match error {
-        SendError::Broken(error) => SendOutcome::Broken(format!("relay: {error}").into()),
-        _ => SendOutcome::Unsent("the relay closed the connection".into()),
+        SendFailure::Broken(error) => SendOutcome::Broken(format!("relay: {error}").into()),
+        SendFailure::Unsent => SendOutcome::Unsent("the relay closed the connection".into()),
     })
 }
 
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -8,10 +8,9 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
 use thiserror::Error;
 use tokio::net::TcpStream;
+use transport::{HttpConnection, SendFailure};
 
 /// Longest wait for a new connection. A reachable server in either region answers within 60 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -49,7 +48,7 @@
 
 struct IdleConnection {
     id: u64,
-    sender: SendRequest<Full<Bytes>>,
+    http: HttpConnection,
     idle_since: Instant,
 }
 
@@ -65,7 +64,7 @@
 /// A connection that carries one request at a time. Dropping it closes it.
 pub struct Connection {
     id: u64,
-    sender: SendRequest<Full<Bytes>>,
+    http: HttpConnection,
     /// Whether it has carried a request before.
     pub reused: bool,
 }
@@ -89,7 +88,7 @@
     /// Takes a connection that became idle at most `max_age` ago, or opens one.
     pub async fn checkout(&self, max_age: Duration) -> Result<Connection, SendError> {
         if let Some(idle) = self.take_idle(max_age) {
-            return Ok(Connection { id: idle.id, sender: idle.sender, reused: true });
+            return Ok(Connection { id: idle.id, http: idle.http, reused: true });
         }
         let connect_error = |source| SendError::Connect { address: self.address, source };
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address))
@@ -97,18 +96,18 @@
             .map_err(|_| connect_error(std::io::ErrorKind::TimedOut.into()))?
             .map_err(connect_error)?;
         stream.set_nodelay(true).map_err(connect_error)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (http, drive) = HttpConnection::new(stream)
             .await
             .map_err(|error| connect_error(std::io::Error::other(error)))?;
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let open = Arc::clone(&self.open);
         open.lock().unwrap_or_else(PoisonError::into_inner).insert(id, Instant::now());
-        // The task ends with the connection, which closes when the sender is dropped.
+        // The task ends with the connection, which closes when it is dropped here.
         tokio::spawn(async move {
-            let _ = connection.await;
+            drive.await;
             open.lock().unwrap_or_else(PoisonError::into_inner).remove(&id);
         });
-        Ok(Connection { id, sender, reused: false })
+        Ok(Connection { id, http, reused: false })
     }
 
     fn take_idle(&self, max_age: Duration) -> Option<IdleConnection> {
@@ -120,7 +119,7 @@
                 idle.push(last);
                 return None;
             }
-            if last.sender.is_ready() {
+            if last.http.is_ready() {
                 return Some(last);
             }
         }
@@ -131,12 +130,12 @@
     pub fn release(self: &Arc<Self>, mut connection: Connection) {
         let pool = Arc::clone(self);
         tokio::spawn(async move {
-            if connection.sender.ready().await.is_err() {
+            if !connection.http.ready().await {
                 return;
             }
             let mut idle = pool.idle.lock().unwrap_or_else(PoisonError::into_inner);
-            let (id, sender) = (connection.id, connection.sender);
-            idle.push(IdleConnection { id, sender, idle_since: Instant::now() });
+            let Connection { id, http, .. } = connection;
+            idle.push(IdleConnection { id, http, idle_since: Instant::now() });
             if idle.len() > MAX_IDLE {
                 idle.remove(0);
             }
@@ -152,7 +151,7 @@
     /// Closes connections that have been idle for longer than `max_age`.
     pub fn close_idle(&self, max_age: Duration) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|i| i.idle_since.elapsed() <= max_age && !i.sender.is_closed());
+        idle.retain(|i| i.idle_since.elapsed() <= max_age && !i.http.is_closed());
     }
 }
 
@@ -162,12 +161,9 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
-            Err(mut error) => match error.take_message() {
-                Some(_) => Err(SendError::Unsent),
-                None => Err(SendError::Broken(error.into_error())),
-            },
-        }
+        self.http.send(request).await.map_err(|failure| match failure {
+            SendFailure::Unsent => SendError::Unsent,
+            SendFailure::Broken(error) => SendError::Broken(error),
+        })
     }
 }
