Answer the connections that wait in the backlog at a stop

Cause: a VM that was paused around the close of its listener reset the connections in the backlog: on resuming, its timers fire before it learns of new connections, so that nothing seemed to wait.

Change: a stopping listener accepts for 50 ms more.

--- a/components/gateway/src/http_server.rs
+++ b/components/gateway/src/http_server.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use dispatch::CallerLimits;
-use futures::FutureExt;
 use http::{HeaderValue, Request};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -28,6 +27,8 @@
 /// TCP keepalive: idle time before the first probe, and interval of probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(3);
 
+/// Time for which a stopping listener still accepts connections.
+const BACKLOG_TIME: Duration = Duration::from_millis(50);
 /// Time for which a connection accepted at the very end of a listener stays open: its first request
 /// may be on its way.
 const MIN_CONNECTION_TIME: Duration = Duration::from_millis(250);
@@ -87,8 +88,10 @@
             }
         }
     }
-    // Callers whose connections wait in the backlog would get a reset.
-    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+    // Callers whose connections wait in the backlog would get a reset. It takes a moment to learn of
+    // them: a process that was paused gets its timers first.
+    let end = Instant::now() + BACKLOG_TIME;
+    while let Ok(Ok((stream, _))) = tokio::time::timeout_at(end, listener.accept()).await {
         start_connection(&connections, stream, &node, &handler, &stop);
     }
     drop(listener);
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -123,9 +123,9 @@
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
     }
-    let start = Instant::now();
     fleet.start(1, "a1")?;
     fleet.wait_until_ready(1, "a1").await?;
+    let start = Instant::now();
     while start.elapsed() < Duration::from_secs(2) {
         let reply = request(leader, Method::GET, "/read/", "id-1", KEY).await?;
         assert_eq!(reply.status.as_u16(), 200);
--- a/tests/requests_ahead.rs
+++ b/tests/requests_ahead.rs
@@ -189,3 +189,30 @@
     assert_eq!(read_responses(&mut stream, 1).await?, ["after"]);
     Ok(())
 }
+
+/// Callers that connect while a stopping VM is paused: their connections wait in the backlog when
+/// the VM closes its listener.
+#[tokio::test]
+async fn connections_in_the_backlog_are_answered_at_a_stop() -> anyhow::Result<()> {
+    const CALLERS: usize = 20;
+    let (mut fleet, server, leader) = fleet().await?;
+    fleet.processes[0].signal("TERM")?;
+    // The listener closes after three quarters of the grace period of 6 s.
+    tokio::time::sleep(Duration::from_millis(4200)).await;
+    fleet.processes[0].signal("STOP")?;
+    let mut streams = Vec::new();
+    for number in 0..CALLERS {
+        let mut stream = TcpStream::connect(leader).await?;
+        stream.write_all(request(&format!("b-{number}"), KEY).as_bytes()).await?;
+        streams.push(stream);
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    fleet.processes[0].signal("CONT")?;
+    for (number, stream) in streams.iter_mut().enumerate() {
+        let answered = read_responses(stream, 1).await?;
+        assert_eq!(answered, [format!("b-{number}")], "cut without an answer");
+    }
+    assert_eq!(server.run_count(), 0, "the end of the grace period could cut it off");
+    assert!(fleet.processes[0].wait(Duration::from_secs(3)).await?);
+    Ok(())
+}
