Split the record of an attempt from its course

Change: attempt_record.rs has what an attempt says about its backend server; standins has the rows of other writers. No behaviour changes.

Result: gateway and odd_entries tests pass.

--- /dev/null
+++ b/components/gateway/src/attempt_record.rs
@@ -0,0 +1,137 @@
+use std::sync::Arc;
+
+use dispatch::{BackendKey, Evidence};
+use kernel::prelude::*;
+
+use crate::attempts::Admitted;
+use crate::datagram::Datagram;
+use crate::exchange::{BackendResponse, SendOutcome};
+use crate::messaging;
+use crate::node::Node;
+
+/// Cause of an attempt that was not sent because its pooled connection had been closed.
+pub const STALE_CAUSE: &str = "the idle connection was closed";
+
+/// An attempt that has ended.
+pub struct Attempt {
+    /// Backend server that it was for.
+    pub key: BackendKey,
+    /// Its id.
+    pub backend: BackendId,
+    /// Relay VM through which it was sent; `None` if it was sent directly.
+    pub via: Option<Incarnation>,
+    /// How it ended.
+    pub outcome: SendOutcome,
+}
+
+/// Records that a backend server crashed while it ran the request, and notifies other VMs.
+pub async fn record_crash(node: &Arc<Node>, req: &Admitted, key: BackendKey, backend: &str) {
+    let now = node.now();
+    let crashes = {
+        let mut state = node.state();
+        if let Some(backend) = state.backends.get_mut(key) {
+            backend.record_unreachable(now);
+        }
+        state.crash_suspects.record_crash(now, req.fingerprint)
+    };
+    node.pools.close(key);
+    telemetry::event!(
+        BACKEND_DIED,
+        request = req.outgoing.request_id,
+        backend = backend,
+        deaths = crashes,
+    );
+    // The caller may retry at any VM, and crashes are rare enough to notify them all.
+    let crash = Datagram::Crash { fingerprint: req.fingerprint, crashes };
+    messaging::notify_leaders(node, &crash).await;
+    messaging::notify_domain(node, &crash).await;
+}
+
+/// Health evidence in a response; `None` if the backend server refused to run the request.
+fn evidence(response: &BackendResponse) -> Option<Evidence> {
+    if response.head.not_run || response.head.pause.is_some() {
+        return None;
+    }
+    Some(match response.status.as_u16() {
+        // The deadline expired at the backend server.
+        504 => Evidence::Overdue,
+        500..=599 => Evidence::Failure,
+        _ => Evidence::Success,
+    })
+}
+
+/// Records what an attempt says about its backend server, and logs it if it failed.
+pub fn record_attempt(node: &Node, req: &Admitted, attempt: &Attempt, elapsed: Duration) {
+    let Attempt { key, via, backend, outcome } = attempt;
+    let (key, via) = (*key, *via);
+    let now = node.now();
+    let mut state = node.state();
+    let (observed, cause) = match outcome {
+        SendOutcome::Completed(response) => {
+            if response.head.misdirected {
+                state.backends.remove(key);
+                telemetry::event!(BACKEND_REPLACED, backend = backend);
+                return;
+            }
+            if let Some(backend) = state.backends.get_mut(key) {
+                if via.is_none() {
+                    backend.record_reachable();
+                }
+                if let Some(load) = response.head.load {
+                    backend.record_load(now, load.running, load.queued);
+                }
+                // A refusal without a load report counts as one of a full backend server.
+                let full = response.head.load.is_none_or(|load| load.queued > 0);
+                if response.head.pause.is_some() {
+                    // The pause says more than the refusal.
+                } else if response.head.not_run && full {
+                    backend.last_full = Some(now);
+                } else {
+                    backend.shed_rate.observe(now, response.head.not_run);
+                }
+            }
+            let observed = evidence(response);
+            if observed == Some(Evidence::Success) {
+                state.crash_suspects.clear(req.fingerprint);
+                let estimate = state.estimates.entry(req.route.id.clone()).or_default();
+                let ratio = elapsed.as_secs_f64() / estimate.time_s.max(0.001);
+                estimate.record(elapsed, req.outgoing.body.len() + response.body.len());
+                if let Some(backend) = state.backends.get_mut(key) {
+                    backend.health.observe_latency(now, ratio);
+                }
+            }
+            (observed, response.status.as_str().to_owned())
+        }
+        SendOutcome::Unsent(cause) => {
+            if let Some(backend) = state.backends.get_mut(key) {
+                backend.reachability.relay = None;
+                backend.record_unreachable(now);
+            }
+            (None, cause.to_string())
+        }
+        SendOutcome::Stale => (None, STALE_CAUSE.to_owned()),
+        SendOutcome::Withheld(cause) => (None, (*cause).to_owned()),
+        SendOutcome::Broken(cause) => (Some(Evidence::Broken), cause.to_string()),
+    };
+    if let Some(observed) = observed {
+        state.observe(now, key, observed);
+    }
+    let not_run = matches!(outcome, SendOutcome::Completed(response) if response.head.not_run);
+    node.metrics.record_attempt(observed, not_run, elapsed);
+    if observed == Some(Evidence::Success) {
+        return;
+    }
+    let gray = state.backends.gray_probability(now, key);
+    drop(state);
+    telemetry::event!(
+        ATTEMPT_FAILED,
+        request = req.outgoing.request_id,
+        route = req.route.id,
+        service = req.service,
+        backend = backend,
+        cause = cause,
+        took_ms = elapsed.as_millis() as u64,
+        gray = gray,
+        config = req.config_version,
+    );
+}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -1,6 +1,7 @@
 //! Serves callers on the platform: connections, watches of the store, messages between VMs.
 
 mod admission;
+mod attempt_record;
 mod attempts;
 mod backend_table;
 mod body;
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -5,7 +5,8 @@
 
 use harness::{GATEWAY_KEY as KEY, GatewayFleet, gateway_request as request, wait_until};
 use http::Method;
-use serde_json::{Value, json};
+use standins::odd_entries::{large_backend_entry, odd_backend_entries};
+use standins::wire;
 
 const SERVICE_TIME: Duration = Duration::from_millis(10);
 /// Number of rows of the flood.
@@ -15,52 +16,6 @@
 /// Upper bound of the resident memory of a gateway.
 const MAX_MEMORY_BYTES: u64 = 100_000_000;
 
-fn good_entry(address: impl ToString) -> Value {
-    json!({
-        "service": "scripts", "address": address.to_string(), "zone": "a1", "version": "v1",
-        "slots": 4, "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": 5,
-    })
-}
-
-/// A good entry with one field replaced.
-fn with(name: &str, value: Value) -> Vec<u8> {
-    let mut entry = good_entry("127.0.0.1:9");
-    entry[name] = value;
-    entry.to_string().into_bytes()
-}
-
-fn odd_values() -> Vec<Vec<u8>> {
-    let nested = |depth: usize| "[".repeat(depth) + &"]".repeat(depth);
-    let text = good_entry("127.0.0.1:9").to_string();
-    vec![
-        nested(30_000).into_bytes(),
-        "[".repeat(MAX_VALUE_BYTES).into_bytes(),
-        text.replace(r#""v1""#, &nested(2000)).into_bytes(),
-        text.replace(r#""scripts""#, &nested(2000)).into_bytes(),
-        text.replace(r#""slots":4"#, r#""slots":1e999"#).into_bytes(),
-        text.replace(r#""sequence":1"#, r#""sequence":123456789012345678901234"#).into_bytes(),
-        text.replace(r#""slots":4"#, r#""slots":4,"slots":4"#).into_bytes(),
-        with("slots", json!(u32::MAX)),
-        with("slots", json!(-4)),
-        with("slots", json!("4")),
-        with("cold_remaining_ms", json!(u64::MAX)),
-        with("born", json!(u64::MAX)),
-        with("born", json!(-1)),
-        with("address", json!("127.0.0.1:65536")),
-        with("address", json!("127.0.0.1:0")),
-        with("address", json!("[::1]:9")),
-        with("address", json!("0.0.0.0:9")),
-        with("address", json!("host.example:9")),
-        with("state", json!("resting")),
-        with("service", json!("s".repeat(60_000))),
-        with("extra", json!("x".repeat(60_000))),
-        with("zone", Value::Null),
-        b"\xff\xfe\x00\x01".to_vec(),
-        b"null".to_vec(),
-        Vec::new(),
-    ]
-}
-
 #[tokio::test]
 async fn odd_rows_harm_no_good_one() -> anyhow::Result<()> {
     let mut fleet = GatewayFleet::new(env!("CARGO_BIN_EXE_papayareel-gateway")).await?;
@@ -69,7 +24,7 @@
     // The first VM reads the rows as changes, the one that starts later reads the whole table.
     fleet.start(0, "a1")?;
     let leader = fleet.wait_until_ready(0, "a1").await?;
-    for (number, value) in odd_values().iter().enumerate() {
+    for (number, value) in odd_backend_entries().iter().enumerate() {
         fleet.store.put_bytes("servers", &format!("odd-{number}"), value);
     }
     fleet.store.put_raw_text("servers", "odd-text", "no base64 !");
@@ -93,10 +48,14 @@
     let longest = log.lines().map(str::len).max().unwrap_or(0);
     assert!(longest < 2000, "a log line has {longest} bytes");
     // A good row that is odd for a moment names no server meanwhile, and one afterwards.
-    for value in odd_values() {
+    for value in odd_backend_entries() {
         fleet.store.put_bytes("servers", "i-2", &value);
     }
-    fleet.store.put("servers", "i-2", &good_entry(second.address()));
+    fleet.store.put(
+        "servers",
+        "i-2",
+        &wire::backend_entry("scripts", second.address(), "a1", "ready", 1),
+    );
     let serves = || async {
         let reply = request(leader, Method::GET, "/read/", "again", KEY).await;
         reply.is_ok_and(|reply| reply.status.as_u16() == 200)
@@ -116,7 +75,7 @@
     let server = fleet.start_backend(1, "a1", SERVICE_TIME).await?;
     fleet.start(0, "a1")?;
     let leader = fleet.wait_until_ready(0, "a1").await?;
-    let value = with("extra", json!("x".repeat(MAX_VALUE_BYTES - 300)));
+    let value = large_backend_entry(MAX_VALUE_BYTES);
     for number in 0..FLOOD_ROWS {
         fleet.store.put_bytes("servers", &format!("odd-{number}"), &value);
         if number % 50 == 0 {
--- a/tools/standins/src/lib.rs
+++ b/tools/standins/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod gateway_backend;
 /// Stand-in for the store that gateways read and write.
 pub mod gateway_store;
+/// Rows of other writers in the table of backend servers.
+pub mod odd_entries;
 /// Stand-in for the platform: transactional table, object store and list of VMs.
 pub mod platform;
 /// Stand-in for a backend server that sends arbitrary bytes.
