Answer what a stopping VM takes, and refuse the rest at once

What callers saw: a request sent 3 s and more after the SIGTERM of a VM was run and its connection closed without a response. The same on real machines, mostly for slow reads.

Cause: `may_start` promised by four times the average time of the route, which one request in a hundred exceeds, and by a guess of 0.3 s on a VM that had not served the route. It was asked before the wait for a slot and not by a relay. The process then exited with requests open; no line named them.

Change: `StopSchedule` decides for new, waiting, repeated and relayed requests. After 0.4 of the grace period only a deadline that passes before the end counts. Requests that still run at 0.93 get 504 and event 942; event 112 takes the place of 103 where connections are cut off. Signals are registered before the settings are read.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -44,7 +44,7 @@
 pub use retry_budget::WindowedRetryBudget;
 pub use shed_rate::ShedRate;
 pub use short_hash::short_hash;
-pub use shutdown::may_start;
+pub use shutdown::StopSchedule;
 pub use store_watch::{WatchConditions, may_start_serving};
 pub use traffic_split::TrafficSplit;
 pub use wait_queue::{NotQueued, QueueCapacity, WaitQueue, Waiter, WaiterId};
--- a/components/dispatch/src/shutdown.rs
+++ b/components/dispatch/src/shutdown.rs
@@ -1,20 +1,63 @@
 use std::time::Duration;
 
-/// Fraction of the grace period (from SIGTERM to SIGKILL) after which a stopping process starts no
-/// request at all.
-const ACCEPT_FRACTION: f64 = 0.6;
-/// Fraction of the grace period within which running requests must finish.
-const FINISH_FRACTION: f64 = 0.93;
-/// Multiple of its expected time that must be left for a request to start. One request in a hundred
-/// takes five times the expected time.
+use kernel::Uptime;
+
+/// Fraction of the grace period (from SIGTERM to SIGKILL) during which a request is taken by its
+/// expected time. Callers learn within this time that they should use another VM.
+const ESTIMATE_FRACTION: f64 = 0.4;
+/// Fraction of the grace period during which callers with old addresses may still connect.
+const LISTEN_FRACTION: f64 = 0.75;
+/// Fraction of the grace period after which every request that is still running gets a response.
+/// The rest is for sending the responses on a busy machine.
+const ANSWER_FRACTION: f64 = 0.93;
+/// Fraction of the grace period after which the process exits, whatever is still open.
+const EXIT_FRACTION: f64 = 0.97;
+/// Multiple of its expected time that must be left for a request that is taken by it. One request
+/// in a hundred takes longer.
 const EXPECTED_TIME_FACTOR: f64 = 4.0;
 
-/// Whether a stopping process may start a request that is expected to take `expected`.
+/// Course of a planned stop.
 ///
-/// Handles callers that still use the address of a stopping VM: a request that the end of the grace
-/// period could cut off is refused without running, so that the caller retries on another VM at
-/// once.
-pub fn may_start(stopping_for: Duration, grace: Duration, expected: Duration) -> bool {
-    let left = grace.mul_f64(FINISH_FRACTION).saturating_sub(stopping_for);
-    stopping_for <= grace.mul_f64(ACCEPT_FRACTION) && expected.mul_f64(EXPECTED_TIME_FACTOR) <= left
+/// Handles callers that still use the address of a stopping VM. Every request that was taken gets a
+/// response before the process ends. In the first part of the grace period, a request is taken if
+/// its expected time leaves room, because a caller may have no second try; the few that take
+/// longer get an error at `answer_by`. Later, one is taken only if its deadline passes before
+/// `answer_by`. All others are refused at once without running.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StopSchedule {
+    /// Until when requests are taken by their expected time. Before `listen_until`.
+    pub estimate_until: Uptime,
+    /// When the listeners close. Before `answer_by`.
+    pub listen_until: Uptime,
+    /// When the requests that are still running get a response. Before `exit_at`.
+    pub answer_by: Uptime,
+    /// When the process exits.
+    pub exit_at: Uptime,
+}
+
+impl StopSchedule {
+    /// Schedule of a process that was asked to stop at `stopped_at` and is killed after `grace`.
+    pub fn new(stopped_at: Uptime, grace: Duration) -> Self {
+        let at = |fraction| stopped_at + grace.mul_f64(fraction);
+        StopSchedule {
+            estimate_until: at(ESTIMATE_FRACTION),
+            listen_until: at(LISTEN_FRACTION),
+            answer_by: at(ANSWER_FRACTION),
+            exit_at: at(EXIT_FRACTION),
+        }
+    }
+
+    /// Latest time at which a request may be sent to a backend server; zero for never.
+    ///
+    /// `respond_by` is when it has its response at the latest, `expected` its expected time if the
+    /// VM has served such a request before.
+    pub fn send_until(&self, respond_by: Uptime, expected: Option<Duration>) -> Uptime {
+        if respond_by <= self.answer_by {
+            return respond_by;
+        }
+        expected.map_or(Uptime::ZERO, |expected| {
+            let latest = self.answer_by.saturating_sub(expected.mul_f64(EXPECTED_TIME_FACTOR));
+            latest.min(self.estimate_until)
+        })
+    }
 }
--- a/components/dispatch/tests/admission.rs
+++ b/components/dispatch/tests/admission.rs
@@ -5,7 +5,7 @@
 use dispatch::{
     AccessDenied, CrashSuspects, GatewayConfig, GatewayConfigError, GatewayConfigParts,
     GatewayOrganisation, GatewayRoute, GatewayService, MAX_CRASHES, RouteKind, ServiceWeight,
-    TrafficSplit, may_start,
+    TrafficSplit,
 };
 
 fn route(id: &str, prefix: &str) -> GatewayRoute {
@@ -109,18 +109,3 @@
     assert!(!there.is_blocked(now, 43));
     assert!(!there.is_blocked(now + Duration::from_secs(600), 42));
 }
-
-// Guards against requests that are cut off at shutdown: a request of 640 ms that arrived 4.45 s
-// after SIGTERM was cut off at the end of the grace period.
-#[test]
-fn stopping_process_refuses_requests_that_it_could_cut_off() {
-    let grace = Duration::from_secs(6);
-    let may = |stopping: u64, expected: u64| {
-        may_start(Duration::from_millis(stopping), grace, Duration::from_millis(expected))
-    };
-    assert!(may(100, 640));
-    assert!(!may(4450, 640));
-    assert!(may(3000, 200));
-    assert!(!may(3500, 640));
-    assert!(!may(100, 1500));
-}
--- a/components/gateway/src/admission.rs
+++ b/components/gateway/src/admission.rs
@@ -3,17 +3,19 @@
 
 use adapter::{RequestHead, RequestHeadError, decode_request_head};
 use bytes::Bytes;
-use dispatch::{AccessDenied, GatewayConfig, GatewayRoute, QuotaDecision, may_start};
+use dispatch::{AccessDenied, GatewayConfig, GatewayRoute, QuotaDecision};
 use http::Request;
 use hyper::body::Incoming;
 use kernel::prelude::*;
 use tokio::time::Instant;
 
-use crate::attempts::{Admitted, serve};
+use crate::attempts::{Admitted, serve, stopping_refusal};
 use crate::body::BodyError;
 use crate::exchange::OutgoingRequest;
 use crate::node::Node;
 use crate::response::{CallerResponse, refusal_response};
+use crate::running_requests::RequestKey;
+use crate::state::RouteEstimate;
 
 /// Deadline of a request that states none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
@@ -22,8 +24,6 @@
 const MAX_SYNC_WAIT: Duration = Duration::from_millis(600);
 /// Retry-After while this VM has no configuration.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Retry-After of a stopping VM; another VM serves at once.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Retry-After of a request that is refused because backend servers crashed while they ran it.
 const CRASH_RETRY_AFTER: Duration = Duration::from_secs(30);
 /// Retry-After of a request whose body found no room: about the time of a running one.
@@ -41,7 +41,8 @@
     let started = node.now();
     let head = decode_request_head(request.headers());
     let id: Box<str> = head.as_ref().map_or_else(|_| "".into(), |h| h.request_id.clone());
-    let result = admit_and_serve(&node, request, head, started).await;
+    let running = node.running.begin(id.clone(), started);
+    let result = admit_and_serve(&node, request, head, started, running.key).await;
     let elapsed = node.now().saturating_sub(started);
     match result {
         Ok(response) => {
@@ -143,6 +144,7 @@
     request: Request<Incoming>,
     head: Result<RequestHead, RequestHeadError>,
     started: Uptime,
+    key: RequestKey,
 ) -> Result<CallerResponse, Refusal> {
     if !node.is_synced() {
         wait_until_synced(node, &head).await;
@@ -184,13 +186,15 @@
         deadline,
     };
     let fingerprint = fingerprint(organisation.as_deref(), &outgoing);
-    let service = check_limits(node, &config, route, organisation.as_deref(), fingerprint)?;
+    let service =
+        check_limits(node, &config, route, organisation.as_deref(), fingerprint, deadline)?;
     let patience = head.deadline.unwrap_or(DEFAULT_DEADLINE);
     let admitted = Admitted {
         route: route.clone(),
         service,
         organisation,
         outgoing,
+        key,
         fingerprint,
         started,
         objective_deadline: started + route.latency_objective.min(patience),
@@ -222,21 +226,13 @@
     route: &GatewayRoute,
     organisation: Option<&str>,
     fingerprint: u64,
+    deadline: Uptime,
 ) -> Result<ServiceId, Refusal> {
     let now = node.now();
     let mut state = node.state();
-    let expected_s = state.estimates.get(&route.id).copied().unwrap_or_default().time_s;
-    if let Some(stopping) = node.stopping_for()
-        && !may_start(
-            stopping,
-            node.boot_config.load().fleet_limits.grace_period,
-            Duration::from_secs_f64(expected_s),
-        )
-    {
-        let message = "this VM stops; use another one";
-        return Err(
-            Refusal::not_run(RefusalKind::Stopping, message).retry_after(STOPPING_RETRY_AFTER)
-        );
+    let expected = state.estimates.get(&route.id).map(RouteEstimate::time);
+    if !node.may_send(deadline, expected) {
+        return Err(stopping_refusal());
     }
     if state.crash_suspects.is_blocked(now, fingerprint) {
         let message = "backend servers died while they ran this request; do not send it again";
--- a/components/gateway/src/attempts.rs
+++ b/components/gateway/src/attempts.rs
@@ -9,9 +9,10 @@
 
 use crate::attempt_record::{Attempt, STALE_CAUSE, record_attempt, record_crash};
 use crate::exchange::{BackendResponse, OutgoingRequest, SendOutcome, exchange, is_alive};
-use crate::node::Node;
+use crate::node::{DEADLINE_MARGIN, Node};
 use crate::relay;
 use crate::response::{CallerResponse, caller_response};
+use crate::running_requests::RequestKey;
 use crate::slot::{NoSlot, Slot, acquire};
 use crate::state::{PlacementParams, RouteEstimate};
 
@@ -22,10 +23,10 @@
 const MIN_OVERDUE: Duration = Duration::from_millis(400);
 /// Number of unsent attempts after which a request is refused.
 const MAX_UNSENT: u32 = 5;
-/// Extra wait for a backend server to report that the deadline has expired there.
-const DEADLINE_MARGIN: Duration = Duration::from_millis(120);
 /// Timeout for checking whether a backend server that broke a connection accepts a new one.
 const ALIVE_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
+/// Retry-After of a stopping VM; another VM serves at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Retry-After of a request that was not run by any backend server.
 const NOT_RUN_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// A request that passed authorization, the rate limit and the check for crash suspects.
@@ -35,6 +36,8 @@
     /// Calling organisation; `None` on a public route.
     pub organisation: Option<OrganisationId>,
     pub outgoing: OutgoingRequest,
+    /// Key among the running requests of this VM.
+    pub key: RequestKey,
     /// Hash that identifies the request among the crash suspects.
     pub fingerprint: u64,
     /// When the request arrived.
@@ -96,6 +99,7 @@
         pin!(sleep((req.outgoing.deadline + DEADLINE_MARGIN).saturating_sub(node.now())));
     let estimate = route_estimate(node, req);
     let overdue = overdue_after(&estimate);
+    let mut answer_due = pin!(node.answers_due());
     let slot = next_slot(node, req, progress, estimate).await?;
     running.push(attempt(node, req, slot, overdue));
     let mut hedge = pin!(sleep(overdue));
@@ -111,6 +115,7 @@
                 continue;
             }
             () = &mut expiry => return Err(timeout_refusal(progress)),
+            () = &mut answer_due => return Err(unfinished_refusal(node, req)),
         };
         if let Some(response) = apply_outcome(node, req, progress, finished) {
             return Ok(response);
@@ -137,7 +142,13 @@
     Duration::from_secs_f64(estimate.time_s * OVERDUE_FACTOR).max(MIN_OVERDUE)
 }
 
-fn placement(req: &Admitted, progress: &Progress, estimate: RouteEstimate) -> PlacementParams {
+fn placement(
+    node: &Node,
+    req: &Admitted,
+    progress: &Progress,
+    estimate: RouteEstimate,
+) -> PlacementParams {
+    let known = node.state().estimates.get(&req.route.id).copied();
     let retryable = req.route.kind.is_idempotent() && progress.sends + 1 < req.route.max_attempts;
     PlacementParams {
         service: req.service.clone(),
@@ -146,6 +157,8 @@
         estimate,
         body_kb: req.outgoing.body.len() as f64 / 1000.0,
         objective_deadline: req.objective_deadline,
+        deadline: req.outgoing.deadline,
+        expected: known.map(|known| known.time()),
         tried: progress.tried.clone(),
     }
 }
@@ -166,7 +179,9 @@
     estimate: RouteEstimate,
 ) -> Result<Slot, Refusal> {
     let latest = start_deadline(req, &estimate);
-    let result = acquire(node, placement(req, progress, estimate), req.priority, latest).await;
+    node.running.record_wait(req.key, &req.route.id);
+    let result =
+        acquire(node, placement(node, req, progress, estimate), req.priority, latest).await;
     let slot = result.map_err(|no_slot| no_slot_refusal(no_slot, req, progress))?;
     progress.tried.push(slot.key);
     progress.sends += 1;
@@ -184,7 +199,8 @@
     if !take_retry(node, req) {
         return None;
     }
-    let slot = acquire(node, placement(req, progress, estimate), req.priority, now).await.ok()?;
+    let slot =
+        acquire(node, placement(node, req, progress, estimate), req.priority, now).await.ok()?;
     progress.tried.push(slot.key);
     progress.sends += 1;
     telemetry::event!(REQUEST_HEDGED, request = req.outgoing.request_id, route = req.route.id);
@@ -247,6 +263,21 @@
         .retry_after(NOT_RUN_RETRY_AFTER)
 }
 
+/// Response to a request that is still running when the process ends.
+fn unfinished_refusal(node: &Node, req: &Admitted) -> Refusal {
+    if let Some(running) = node.running.get(req.key) {
+        running.log_unfinished(node.now());
+    }
+    let message = "this VM ends before the backend server has answered; check whether it ran";
+    Refusal::unknown(RefusalKind::BackendTimeout, message)
+}
+
+/// Refusal of a request that this VM may not send, because it stops before the deadline.
+pub fn stopping_refusal() -> Refusal {
+    Refusal::not_run(RefusalKind::Stopping, "this VM stops; use another one")
+        .retry_after(STOPPING_RETRY_AFTER)
+}
+
 fn no_slot_refusal(no_slot: NoSlot, req: &Admitted, progress: &Progress) -> Refusal {
     let refusal = match no_slot {
         NoSlot::NoBackend => {
@@ -257,6 +288,7 @@
             let message = format!("service {} has no room in time", req.service);
             Refusal::not_run(RefusalKind::Overloaded, message).retry_after(retry_after)
         }
+        NoSlot::Stopping => stopping_refusal(),
     };
     if progress.maybe_run {
         return Refusal::unknown(RefusalKind::BackendFailed, refusal.message);
@@ -274,6 +306,7 @@
         let outcome = SendOutcome::Unsent("the backend server has left".into());
         return Attempt { key, backend: "".into(), via: None, outcome };
     };
+    node.running.record_send(req.key, &entry.id);
     let now = node.now();
     let remaining = req.outgoing.deadline.saturating_sub(now);
     let mut outgoing = req.outgoing.clone();
--- a/components/gateway/src/http_server.rs
+++ b/components/gateway/src/http_server.rs
@@ -1,6 +1,7 @@
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::pin::pin;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::Poll;
 use std::time::Duration;
@@ -120,6 +121,22 @@
     node.config.load().as_ref().map(|config| config.limits).unwrap_or_default()
 }
 
+/// Counts a connection as open until it is dropped.
+struct OpenConnection<'a>(&'a Node);
+
+impl<'a> OpenConnection<'a> {
+    fn new(node: &'a Node) -> Self {
+        node.open_connections.fetch_add(1, Ordering::Relaxed);
+        OpenConnection(node)
+    }
+}
+
+impl Drop for OpenConnection<'_> {
+    fn drop(&mut self) {
+        self.0.open_connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Whether a connection has a request in progress.
 struct Activity {
     /// End of the last request, or the start of the connection; `None` during a request.
@@ -173,6 +190,7 @@
     handler: impl RequestHandler,
     stop: CancellationToken,
 ) {
+    let _open = OpenConnection::new(&node);
     let limits = caller_limits(&node);
     let mut builder = http1::Builder::new();
     // Its timer would keep the limits that were in force when the connection was opened.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod relay;
 mod response;
 mod run;
+mod running_requests;
 mod signals;
 mod slot;
 mod state;
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -1,4 +1,4 @@
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Instant;
 
@@ -6,18 +6,20 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use dispatch::{
     Backends, CrashSuspects, Distance, Election, GatewayConfig, PlacementWeights, Quota,
-    may_start_serving,
+    StopSchedule, may_start_serving,
 };
 use kernel::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
 use crate::body::BodyStore;
 use crate::metrics::Metrics;
 use crate::options::Options;
 use crate::pool::Pools;
+use crate::running_requests::RunningRequests;
 use crate::state::State;
 use crate::store_cache::StoreCache;
 
@@ -29,6 +31,9 @@
 /// Bytes of each response that do not count towards that part.
 const SMALL_RESPONSE_BYTES: usize = 16 << 10;
 
+/// Extra wait for a backend server to report that the deadline has expired there.
+pub const DEADLINE_MARGIN: Duration = Duration::from_millis(120);
+
 /// State shared by all tasks of a gateway process.
 pub struct Node {
     /// The platform's settings for this VM; replaced when their file changes.
@@ -43,6 +48,10 @@
     pub cache: Mutex<StoreCache>,
     /// Connections to backend servers.
     pub pools: Pools,
+    /// Requests of callers that have no response yet.
+    pub running: RunningRequests,
+    /// Number of open connections that callers and other VMs have opened.
+    pub open_connections: AtomicUsize,
     /// Bodies of callers' requests that this VM holds.
     pub request_bodies: BodyStore,
     /// Bodies of backend servers' responses that this VM holds.
@@ -64,8 +73,10 @@
     /// Set once the data was confirmed, or cannot be. Never reset: later, only changes of the data
     /// matter, and a watch takes over when it is stale.
     confirmed: AtomicBool,
-    /// When the process was asked to stop.
-    stopping: OnceLock<Instant>,
+    /// Cancelled once the process was asked to stop.
+    pub stop_begun: CancellationToken,
+    /// Schedule of the stop; set before `stop_begun` is cancelled.
+    stop: OnceLock<StopSchedule>,
     random: Mutex<SmallRng>,
 }
 
@@ -110,6 +121,8 @@
             config: ArcSwapOption::empty(),
             cache: Mutex::default(),
             pools: Pools::default(),
+            running: RunningRequests::default(),
+            open_connections: AtomicUsize::new(0),
             request_bodies: BodyStore::new(memory / REQUEST_MEMORY_FRACTION, 0),
             response_bodies: BodyStore::new(
                 memory / RESPONSE_MEMORY_FRACTION,
@@ -124,7 +137,8 @@
             started: Instant::now(),
             data_since: OnceLock::new(),
             confirmed: AtomicBool::new(false),
-            stopping: OnceLock::new(),
+            stop_begun: CancellationToken::new(),
+            stop: OnceLock::new(),
             random: Mutex::new(random),
         })
     }
@@ -212,17 +226,35 @@
 
     /// Whether the process was asked to stop.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.get().is_some()
+        self.stop.get().is_some()
+    }
+
+    /// Records that the process was asked to stop, and returns its schedule.
+    pub fn begin_stop(&self) -> StopSchedule {
+        let grace = self.boot_config.load().fleet_limits.grace_period;
+        // A second request to stop keeps the schedule of the first.
+        let schedule = *self.stop.get_or_init(|| StopSchedule::new(self.now(), grace));
+        self.stop_begun.cancel();
+        schedule
+    }
+
+    /// Latest time at which a request may be sent to a backend server so that it has its response
+    /// before the process ends; `None` while the process is not stopping.
+    pub fn send_until(&self, deadline: Uptime, expected: Option<Duration>) -> Option<Uptime> {
+        let stop = self.stop.get()?;
+        Some(stop.send_until(deadline + DEADLINE_MARGIN, expected))
     }
 
-    /// Records that the process was asked to stop.
-    pub fn mark_stopping(&self) {
-        // A second request to stop keeps the time of the first.
-        let _ = self.stopping.set(Instant::now());
+    /// Whether a request may be sent to a backend server now.
+    pub fn may_send(&self, deadline: Uptime, expected: Option<Duration>) -> bool {
+        self.send_until(deadline, expected).is_none_or(|latest| self.now() <= latest)
     }
 
-    /// Time since the process was asked to stop, if it was.
-    pub fn stopping_for(&self) -> Option<Duration> {
-        self.stopping.get().map(Instant::elapsed)
+    /// Waits until the requests that are still running must get a response because the process
+    /// ends.
+    pub async fn answers_due(&self) {
+        self.stop_begun.cancelled().await;
+        let due = self.stop.get().map_or(Uptime::ZERO, |stop| stop.answer_by);
+        tokio::time::sleep(due.saturating_sub(self.now())).await;
     }
 }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -84,6 +84,9 @@
     let Ok(body) = store.read(body, store.limit()).await else {
         return unsent("the relay has no room for the request, or it did not arrive whole");
     };
+    if !node.may_send(deadline, None) {
+        return unsent("the relay stops");
+    }
     parts.headers.remove(CONTENT_LENGTH);
     let outgoing = OutgoingRequest {
         method: parts.method,
@@ -94,7 +97,11 @@
         idempotent: task == TASK_IDEMPOTENT,
         deadline,
     };
-    match exchange(&node, key, address, false, outgoing).await {
+    let outcome = tokio::select! {
+        outcome = exchange(&node, key, address, false, outgoing) => outcome,
+        () = node.answers_due() => SendOutcome::Broken("the relay ended".into()),
+    };
+    match outcome {
         SendOutcome::Completed(response) => relayed_response(response),
         SendOutcome::Unsent(cause) => unsent(&cause),
         SendOutcome::Stale => unsent("the relay's idle connection was closed"),
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use adapter::{boot_config_path, read_boot_config};
@@ -11,7 +12,8 @@
 use crate::http_server::serve;
 use crate::node::Node;
 use crate::options::Options;
-use crate::signals::{finish_timeout, reload, stop_on_signal};
+use crate::running_requests::Stage;
+use crate::signals::{Signals, reload, stop_on_signal};
 use crate::{
     admission, endpoints, logs, messaging, periodic, registration, relay, store_watch, sync,
 };
@@ -33,6 +35,7 @@
 }
 
 async fn start(path: PathBuf, options: Options, seed: Option<u64>) -> anyhow::Result<()> {
+    let (stop_signals, hangup) = Signals::register()?.split();
     let boot_config = read_boot_config(&path)?;
     telemetry::event!(SETTINGS_READ);
     let socket = UdpSocket::bind(boot_config.listen.peers).await.with_context(|| {
@@ -70,28 +73,43 @@
     tokio::spawn(store_watch::watch_configuration(Arc::clone(&node)));
     tokio::spawn(store_watch::watch_backends(Arc::clone(&node)));
     tokio::spawn(registration::register(Arc::clone(&node)));
-    let reloads = reload(Arc::clone(&node), path);
-    tokio::spawn(async move {
-        if let Err(error) = reloads.await {
-            telemetry::event!(SETTINGS_REFUSED, error = error.to_string());
-        }
-    });
+    tokio::spawn(reload(Arc::clone(&node), path, hangup));
     let vm = node.boot_config.load().vm.clone();
     telemetry::event!(STARTED, vm = vm, incarnation = format!("{:016x}", node.incarnation));
-    stop_on_signal(Arc::clone(&node), stop).await?;
+    let schedule = stop_on_signal(&node, stop_signals, stop).await;
     let finish = async {
         for server in servers {
             // A server that panicked has no requests left to finish.
             let _ = server.await;
         }
     };
-    let finished = tokio::time::timeout(finish_timeout(&node), finish).await.is_ok();
-    telemetry::event!(STOPPED, vm = vm, finished = finished);
+    let time_left = schedule.exit_at.saturating_sub(node.now());
+    if tokio::time::timeout(time_left, finish).await.is_ok() {
+        telemetry::event!(STOPPED, vm = vm);
+    } else {
+        log_unfinished(&node, &vm);
+    }
     // Gives the log thread time to write the last line.
     tokio::time::sleep(Duration::from_millis(20)).await;
     Ok(())
 }
 
+/// Logs the requests and connections that are cut off by the end of the process.
+fn log_unfinished(node: &Node, vm: &str) {
+    let now = node.now();
+    let requests = node.running.list();
+    requests.iter().for_each(|request| request.log_unfinished(now));
+    let count = |stage| requests.iter().filter(|request| request.stage == stage).count();
+    telemetry::event!(
+        STOPPED_EARLY,
+        vm = vm,
+        read = count(Stage::Read),
+        waiting = count(Stage::Waiting),
+        sent = count(Stage::Sent),
+        connections = node.open_connections.load(Ordering::Relaxed),
+    );
+}
+
 /// Serves address resolution and readiness, which may share a listener.
 async fn resolve_or_readiness(
     node: Arc<Node>,
--- a/components/gateway/src/slot.rs
+++ b/components/gateway/src/slot.rs
@@ -6,6 +6,7 @@
 };
 use kernel::prelude::*;
 use tokio::sync::oneshot;
+use tokio::time::sleep;
 
 use crate::node::Node;
 use crate::state::{PlacementParams, QueuedRequest, State};
@@ -131,6 +132,13 @@
     }
 }
 
+/// Waits until the process stops and may not send the request any more.
+async fn stop_forbids(node: &Node, deadline: Uptime, expected: Option<Duration>) {
+    node.stop_begun.cancelled().await;
+    let latest = node.send_until(deadline, expected).unwrap_or_default();
+    sleep(latest.saturating_sub(node.now())).await;
+}
+
 /// Why a request got no slot; it was not sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum NoSlot {
@@ -141,6 +149,8 @@
         /// Retry-After for the caller.
         retry_after: Duration,
     },
+    /// The process stops, and could end before the request has its response.
+    Stopping,
 }
 
 /// Takes a slot for a request, waiting in the queue until `start_deadline` if none is free.
@@ -152,6 +162,10 @@
 ) -> Result<Slot, NoSlot> {
     let service = params.service.clone();
     let slot = |key| Slot { node: Arc::clone(node), key, service: service.clone() };
+    let (deadline, expected) = (params.deadline, params.expected);
+    if !node.may_send(deadline, expected) {
+        return Err(NoSlot::Stopping);
+    }
     let (receiver, guard) = {
         let now = node.now();
         let spread = node.random_fraction();
@@ -195,14 +209,17 @@
     };
     let wait = start_deadline.saturating_sub(node.now());
     let mut receiver = receiver;
-    let woken = tokio::time::timeout(wait, &mut receiver).await;
+    let woken = tokio::select! {
+        woken = &mut receiver => woken.ok(),
+        () = sleep(wait) => None,
+        () = stop_forbids(node, deadline, expected) => None,
+    };
     drop(guard);
-    match woken {
-        Ok(Ok(key)) => Ok(slot(key)),
-        // A slot may have been assigned between the timeout and leaving the queue.
-        _ => match receiver.try_recv() {
-            Ok(key) => Ok(slot(key)),
-            Err(_) => Err(NoSlot::Rejected { retry_after: Duration::from_millis(500) }),
-        },
+    // A slot may have been assigned between the end of the wait and leaving the queue.
+    let assigned = woken.or_else(|| receiver.try_recv().ok()).map(slot);
+    match assigned {
+        _ if !node.may_send(deadline, expected) => Err(NoSlot::Stopping),
+        Some(slot) => Ok(slot),
+        None => Err(NoSlot::Rejected { retry_after: Duration::from_millis(500) }),
     }
 }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -33,6 +33,11 @@
 }
 
 impl RouteEstimate {
+    /// Expected service time.
+    pub fn time(&self) -> Duration {
+        Duration::from_secs_f64(self.time_s)
+    }
+
     /// Records a successful request. A sample counts for at most six times the expected time.
     pub fn record(&mut self, time: Duration, bytes: usize) {
         self.time_s += ESTIMATE_ALPHA * (time.as_secs_f64().min(self.time_s * 6.0) - self.time_s);
@@ -65,6 +70,10 @@
     pub body_kb: f64,
     /// When the latency objective of the route expires.
     pub objective_deadline: Uptime,
+    /// When the caller must have a response.
+    pub deadline: Uptime,
+    /// Expected service time, if this VM has served such a request before.
+    pub expected: Option<Duration>,
     /// Backend servers that were tried before.
     pub tried: Vec<BackendKey>,
 }
--- a/components/telemetry/src/catalogue.rs
+++ b/components/telemetry/src/catalogue.rs
@@ -42,6 +42,8 @@
         "If it repeats, check whether file descriptors run out.";
     TRACES_LOST = 111, Warn, "traces-lost", "The last spans were not exported to the collector.",
         "Check `traces.endpoint` and the collector.";
+    STOPPED_EARLY = 112, Warn, "stopped-early", "The grace period is over: the process exits with connections of callers open. The fields count the requests that are cut off by how far they have come.",
+        "Find the requests by event 942 that precedes it.";
     PEER_JOINED = 201, Info, "peer-joined", "Another VM was seen for the first time.",
         "Nothing.";
     PEER_SUSPECT = 202, Warn, "peer-suspect", "Another VM does not respond to direct or indirect pings.",
@@ -194,4 +196,6 @@
         "Nothing.";
     CHANGES_UNFIT = 941, Warn, "changes-unfit", "Changes of the backend server list do not apply to the list held here; the whole list is read.",
         "Nothing, if it is rare.";
+    REQUEST_UNFINISHED = 942, Warn, "request-unfinished", "The process ends before a request has a response of a backend server.",
+        "`stage` says how far it has come: `read`, `waiting` for a backend server, or `sent` to `backend`, which may have run it.";
 }
--- a/tools/harness/src/gateway.rs
+++ b/tools/harness/src/gateway.rs
@@ -199,14 +199,16 @@
     /// Writes a configuration in which the organisation `north` has these keys; returns its version.
     pub fn write_config(&mut self, keys: &[&str]) -> u64 {
         self.version += 3;
-        let route = |name: &str, prefix: &str, kind: &str| {
+        let timed = |name: &str, prefix: &str, kind: &str, timeout_ms: u32, objective_ms: u32| {
             json!({"resource_type": "routes", "metadata": {"name": name}, "spec": {
-                "host": GATEWAY_HOST, "prefix": prefix, "kind": kind, "timeout_ms": 3000,
-                "latency_objective_ms": 1500, "priority": 1, "service": "scripts",
+                "host": GATEWAY_HOST, "prefix": prefix, "kind": kind, "timeout_ms": timeout_ms,
+                "latency_objective_ms": objective_ms, "priority": 1, "service": "scripts",
                 "max_attempts": 2, "public": false}})
         };
+        let route = |name: &str, prefix: &str, kind: &str| timed(name, prefix, kind, 3000, 1500);
         let config = json!({"version": format!("r{}", self.version), "resources": [
             route("read", "/read/", "safe"),
+            timed("long", "/long/", "safe", 10_000, 4000),
             route("write", "/write/", "unsafe"),
             route("upload", "/upload/", "upload"),
             {"resource_type": "services", "metadata": {"name": "scripts"}, "spec": {
