Give back a slot that was assigned to a request whose caller left

What callers saw: a VM answered everything with 503 while its backend servers were idle.

Cause: a slot in the channel to a waiting request was lost when the request's task was dropped before it read the channel. Ruled out: the queue itself, from which the dropped request was removed.

Change: the waiting request owns the receiver and gives back what it holds when it is dropped.

--- a/components/gateway/src/slot.rs
+++ b/components/gateway/src/slot.rs
@@ -38,21 +38,36 @@
     }
 }
 
-/// Removes a request from the queue when its task is dropped, as when the caller disconnects.
-struct QueueGuard<'a> {
-    node: &'a Node,
-    service: &'a str,
+/// A request in the queue. It leaves the queue when its task is dropped, as when the caller
+/// disconnects, and gives back a slot that it was assigned in the meantime.
+struct QueuedWait<'a> {
+    node: &'a Arc<Node>,
+    service: &'a ServiceId,
     id: WaiterId,
     waiter: Waiter,
+    /// Receives the backend server of the slot. What it holds is counted as in flight.
+    receiver: oneshot::Receiver<BackendKey>,
 }
 
-impl Drop for QueueGuard<'_> {
-    fn drop(&mut self) {
-        let mut state = self.node.state();
-        if let Some(service) = state.services.get_mut(self.service) {
+impl QueuedWait<'_> {
+    fn slot(&self, key: BackendKey) -> Slot {
+        Slot { node: Arc::clone(self.node), key, service: self.service.clone() }
+    }
+
+    /// Leaves the queue; returns the slot if one was assigned.
+    fn leave(&mut self) -> Option<Slot> {
+        if let Some(service) = self.node.state().services.get_mut(self.service) {
             service.queue.remove(self.id, &self.waiter);
             service.queued.remove(&self.id);
         }
+        let assigned = self.receiver.try_recv().ok();
+        assigned.map(|key| self.slot(key))
+    }
+}
+
+impl Drop for QueuedWait<'_> {
+    fn drop(&mut self) {
+        drop(self.leave());
     }
 }
 
@@ -161,12 +176,11 @@
     start_deadline: Uptime,
 ) -> Result<Slot, NoSlot> {
     let service = params.service.clone();
-    let slot = |key| Slot { node: Arc::clone(node), key, service: service.clone() };
     let (deadline, expected) = (params.deadline, params.expected);
     if !node.may_send(deadline, expected) {
         return Err(NoSlot::Stopping);
     }
-    let (receiver, guard) = {
+    let mut waiting = {
         let now = node.now();
         let spread = node.random_fraction();
         let mut available_at = now;
@@ -174,7 +188,7 @@
         match choose_placement(node, &mut state, now, &params) {
             Placement::Send(key) => {
                 reserve(&mut state, now, key, &service);
-                return Ok(slot(key));
+                return Ok(Slot { node: Arc::clone(node), key, service: service.clone() });
             }
             Placement::NoBackend => return Err(NoSlot::NoBackend),
             Placement::Paused(until) => available_at = until,
@@ -205,18 +219,16 @@
         let (wake, receiver) = oneshot::channel();
         service_state.queued.insert(id, QueuedRequest { waiter, params, wake });
         drop(state);
-        (receiver, QueueGuard { node, service: &service, id, waiter })
+        QueuedWait { node, service: &service, id, waiter, receiver }
     };
     let wait = start_deadline.saturating_sub(node.now());
-    let mut receiver = receiver;
     let woken = tokio::select! {
-        woken = &mut receiver => woken.ok(),
+        woken = &mut waiting.receiver => woken.ok(),
         () = sleep(wait) => None,
         () = stop_forbids(node, deadline, expected) => None,
     };
-    drop(guard);
     // A slot may have been assigned between the end of the wait and leaving the queue.
-    let assigned = woken.or_else(|| receiver.try_recv().ok()).map(slot);
+    let assigned = woken.map(|key| waiting.slot(key)).or_else(|| waiting.leave());
     match assigned {
         _ if !node.may_send(deadline, expected) => Err(NoSlot::Stopping),
         Some(slot) => Ok(slot),
