Take no response without an id on a connection that was in use before

What callers would see: a request that may run once ran twice, or was called not run while it ran, after a faulty backend server had written a refusal once more on a kept connection.

Cause: a 421 without a request id counted as the response to the request that was being sent, also on a connection that had brought a response before.

Change: such a response counts only as the first of a connection, and a connection that has brought one is not used again. Ruled out by the same test: 503 with and without an id, and 421 with an earlier id, which were refused before.

--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -73,12 +73,13 @@
     head: &ResponseHead,
     status: StatusCode,
     request_id: &str,
+    reused: bool,
 ) -> Option<&'static str> {
     // A response without an id cannot be told from a second one to the previous request of the
-    // connection. One of another backend server is no response to a request.
+    // connection. A backend server that is not the one asked for names no request.
     match head.request_id.as_deref() {
         Some(id) if id != request_id => return Some("the answer belongs to another request"),
-        None if !head.misdirected => return Some("the answer names no request"),
+        None if reused || !head.misdirected => return Some("the answer names no request"),
         _ => {}
     }
     if status.is_success() && (!head.signed || head.encoded) {
@@ -144,6 +145,7 @@
     }
     set_deadline(&mut outgoing.headers, outgoing.deadline.saturating_sub(node.now()));
     let request_id = outgoing.request_id.clone();
+    let reused = connection.has_responded();
     let response = match connection.send(outgoing.into_request()).await {
         Ok(response) => response,
         Err(SendFailure::Broken(error)) => return SendOutcome::Broken(error.to_string().into()),
@@ -151,7 +153,7 @@
     };
     let (parts, incoming) = response.into_parts();
     let head = decode_response_head(parts.status, &parts.headers);
-    if let Some(reason) = find_response_error(&head, parts.status, &request_id) {
+    if let Some(reason) = find_response_error(&head, parts.status, &request_id, reused) {
         return SendOutcome::Broken(reason.into());
     }
     record_notice(node, key, &head);
@@ -159,7 +161,7 @@
         Ok(body) => body,
         Err(cause) => return SendOutcome::Broken(cause),
     };
-    if !head.closes {
+    if !head.closes && head.request_id.is_some() {
         let idle_limit = head.keep_alive.map_or(options.max_idle, |stated| {
             // The backend server started its idle timer earlier than this side does.
             stated.saturating_sub(Duration::from_millis(500)).min(options.max_idle)
--- a/components/transport/src/connection.rs
+++ b/components/transport/src/connection.rs
@@ -24,6 +24,7 @@
 pub struct HttpConnection {
     sender: SendRequest<Full<Bytes>>,
     allowance: HeadAllowance,
+    has_responded: bool,
 }
 
 impl HttpConnection {
@@ -41,7 +42,7 @@
             // Whoever waits for a response gets the same error.
             let _ = connection.await;
         };
-        Ok((HttpConnection { sender, allowance }, drive))
+        Ok((HttpConnection { sender, allowance, has_responded: false }, drive))
     }
 
     /// Whether it can carry a request now. It cannot while the server still reads the previous one.
@@ -49,6 +50,11 @@
         self.sender.is_ready()
     }
 
+    /// Whether it has brought a response, so that the next one may be a second copy of it.
+    pub fn has_responded(&self) -> bool {
+        self.has_responded
+    }
+
     /// Whether it is closed.
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed()
@@ -68,6 +74,7 @@
         self.allowance.set(2 * MAX_BUFFER_BYTES);
         let result = self.sender.try_send_request(request).await;
         self.allowance.set(usize::MAX);
+        self.has_responded |= result.is_ok();
         result.map_err(|mut error| match error.take_message() {
             Some(_) => SendFailure::Unsent,
             None => SendFailure::Broken(error.into_error()),
--- a/tests/untrusted_responses.rs
+++ b/tests/untrusted_responses.rs
@@ -90,6 +90,64 @@
     Ok(())
 }
 
+/// A refusal that says that the request has not run. Those to another backend server's request may
+/// name no request.
+fn refusal(status: u16, id: Option<&str>) -> Vec<u8> {
+    let id = id.map_or_else(String::new, |id| format!("Request-Id: {id}\r\n"));
+    format!("HTTP/1.1 {status} Refused\r\n{id}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+        .into_bytes()
+}
+
+/// A backend server that refuses each request whose id begins with `r`, and runs all others. While
+/// it runs one on a connection that was in use before, it writes another refusal.
+fn repeats_refusal(status: u16, named: bool, wait: u64) -> Script {
+    script(move |id, number| {
+        if id.starts_with('r') {
+            return vec![RawStep::Send(refusal(503, Some(id)))];
+        }
+        let again = refusal(status, named.then_some("r-before"));
+        let mut steps = vec![RawStep::Wait(Duration::from_millis(wait))];
+        // The first request of a connection has no refusal before it.
+        if number > 0 {
+            steps.push(RawStep::Send(again));
+        }
+        steps.push(RawStep::Wait(Duration::from_millis(30)));
+        steps.push(RawStep::Send(raw_response(id, id)));
+        steps
+    })
+}
+
+/// Callers were told that a request had not run although a backend server was running it, or it was
+/// run by a second one: an earlier refusal without an id was taken as its response.
+#[tokio::test]
+async fn earlier_refusal_written_again_refuses_no_other_request() -> anyhow::Result<()> {
+    for (status, named, wait) in [(503, true, 0), (503, false, 5), (421, true, 5), (421, false, 0)]
+    {
+        let mut fleet = fleet().await?;
+        let script = repeats_refusal(status, named, wait);
+        let first = fleet.start_raw_backend(1, "a1", Arc::clone(&script)).await?;
+        let second = fleet.start_raw_backend(2, "a1", script).await?;
+        fleet.start(0, "a1")?;
+        let leader = fleet.wait_until_ready(0, "a1").await?;
+        let mut unknown = 0;
+        for number in 0..10 {
+            request(leader, Method::POST, "/write/", &format!("r-{number}"), KEY).await?;
+            let id = format!("x-{number}");
+            let reply = request(leader, Method::POST, "/write/", &id, KEY).await?;
+            let runs = [&first, &second].map(|b| b.observed().runs.get(&id).copied().unwrap_or(0));
+            let runs: u32 = runs.iter().sum();
+            let case = format!("{status}, named {named}, {id}");
+            assert!(runs <= 1, "{case}: ran {runs} times");
+            let promises = [408, 421, 429, 503].contains(&reply.status.as_u16());
+            assert!(!promises || runs == 0, "{case}: {} although it ran", reply.status);
+            unknown += u32::from(reply.status == 502);
+        }
+        // One that is taken for a response of its own, or the test shows nothing.
+        assert!(unknown > 0, "{status}, named {named}: no refusal was repeated");
+    }
+    Ok(())
+}
+
 fn head(id: &str, fields: &str) -> Vec<u8> {
     format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: raw\r\n{fields}\r\n")
         .into_bytes()
