Let the soak see requests that a planned stop loses

Cause: the soak took every closed connection as allowed, opened one for each request, waited for the end of a stop before the next fault, and its backend servers answered at once.

Change: callers keep their connections until the VM closes them; stops, pauses and configurations overlap; requests state how long they take, up to 5.5 s; a request that ran and has no response is a violation unless its VM was killed or paused meanwhile. A VM that does not end with 0 in its grace period is one as well. Runs with an even seed have planned work only.

--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use harness::{Caller, GATEWAY_HOST, GATEWAY_KEY as KEY, GatewayFleet, HttpResponse, wait_until};
+use harness::{
+    Caller, GATEWAY_KEY as KEY, GatewayFleet, HttpResponse, gateway_request_on, wait_until,
+};
 use http::Method;
 use standins::gateway_backend::{BackendMode, GatewayBackend};
 
@@ -25,15 +27,8 @@
 }
 
 async fn send(caller: &mut Caller, path: &str, id: &str) -> anyhow::Result<HttpResponse> {
-    let key = format!("Bearer {KEY}");
-    let headers = [
-        ("host", GATEWAY_HOST),
-        ("request-id", id),
-        ("deadline-ms", "10000"),
-        ("authorization", &key),
-    ];
     let method = if path.starts_with("/write/") { Method::POST } else { Method::GET };
-    caller.send(&method, path, &headers, "").await
+    gateway_request_on(caller, method, path, id, KEY, 10_000).await
 }
 
 /// Opens a connection with a request that needs no backend server, and sends another one on it
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -7,7 +7,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn guarantees_hold_under_random_faults() -> anyhow::Result<()> {
-    for seed in [1, 2] {
+    // Seeds 2, 4 and 6 lost requests in planned stops.
+    for seed in [1, 2, 4, 6] {
         let options = SoakOptions {
             program: env!("CARGO_BIN_EXE_papayareel-gateway").into(),
             seed,
--- a/tools/harness/src/gateway.rs
+++ b/tools/harness/src/gateway.rs
@@ -263,7 +263,10 @@
     Caller::new(address).send(&Method::GET, path, &[], Bytes::new()).await
 }
 
-/// Sends a request with the request id `id` and an API key.
+/// Deadline of the requests that state none of their own, in milliseconds.
+const DEADLINE_MS: u32 = 4000;
+
+/// Sends a request with the request id `id` and an API key on a connection of its own.
 pub async fn gateway_request(
     address: SocketAddr,
     method: Method,
@@ -271,15 +274,27 @@
     id: &str,
     key: &str,
 ) -> anyhow::Result<HttpResponse> {
-    let key = format!("Bearer {key}");
+    gateway_request_on(&mut Caller::new(address), method, path, id, key, DEADLINE_MS).await
+}
+
+/// Sends a request with the request id `id` and an API key on a caller's connection.
+pub async fn gateway_request_on(
+    caller: &mut Caller,
+    method: Method,
+    path: &str,
+    id: &str,
+    key: &str,
+    deadline_ms: u32,
+) -> anyhow::Result<HttpResponse> {
+    let (key, deadline) = (format!("Bearer {key}"), deadline_ms.to_string());
     let headers = [
         ("host", GATEWAY_HOST),
         ("request-id", id),
-        ("deadline-ms", "4000"),
+        ("deadline-ms", &*deadline),
         ("authorization", &*key),
     ];
     let body = if method == Method::GET { Bytes::new() } else { Bytes::from_static(b"text") };
-    Caller::new(address).send(&method, path, &headers, body).await
+    caller.send(&method, path, &headers, body).await
 }
 
 /// Waits until a condition holds; returns whether it did within the timeout, which in tests is a
--- a/tools/harness/src/lib.rs
+++ b/tools/harness/src/lib.rs
@@ -15,7 +15,9 @@
 
 pub use caller::{Caller, HttpResponse, send_request};
 pub use fleet::{Fleet, OPERATOR_TOKEN};
-pub use gateway::{GATEWAY_HOST, GATEWAY_KEY, GatewayFleet, gateway_request, wait_until};
+pub use gateway::{
+    GATEWAY_HOST, GATEWAY_KEY, GatewayFleet, gateway_request, gateway_request_on, wait_until,
+};
 pub use layout::{BackendLayout, FleetLayout, VmLayout};
 pub use loopback_net::LoopbackNet;
 pub use process::{Process, memory_bytes};
--- a/tools/harness/src/process.rs
+++ b/tools/harness/src/process.rs
@@ -78,12 +78,18 @@
         Ok(())
     }
 
+    /// Returns whether the process exited successfully; `None` while it runs.
+    pub fn result(&mut self) -> anyhow::Result<Option<bool>> {
+        let status = self.child.try_wait().context("cannot wait for a process")?;
+        Ok(status.map(|status| status.success()))
+    }
+
     /// Waits for the end of the process; returns whether it exited successfully.
     pub async fn wait(&mut self, limit: Duration) -> anyhow::Result<bool> {
         let start = Instant::now();
         loop {
-            if let Some(status) = self.child.try_wait().context("cannot wait for a process")? {
-                return Ok(status.success());
+            if let Some(success) = self.result()? {
+                return Ok(success);
             }
             if start.elapsed() > limit {
                 bail!("{} did not end within {limit:?}", self.name);
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, SeedableRng};
 use standins::gateway_backend::GatewayBackend;
 
-use crate::faults::SoakFleet;
+use crate::faults::{SoakFleet, VmState};
 use crate::proxy::Proxy;
 use crate::traffic::{SharedObservations, lock, send_requests};
 
@@ -18,8 +18,10 @@
 const SERVICE_TIME: Duration = Duration::from_millis(20);
 /// Time within which every VM must serve again after the faults end.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(15);
-/// Number of concurrent callers.
-const CALLER_COUNT: u64 = 8;
+/// Number of concurrent callers for each VM.
+const CALLERS_PER_VM: u64 = 4;
+/// Interval of checks for VMs that have stopped, or whose pause is over.
+const STEP: Duration = Duration::from_millis(20);
 
 /// Options of one run.
 #[derive(Clone, Debug)]
@@ -49,7 +51,10 @@
     pub violations: Vec<String>,
 }
 
-async fn start_fleet(options: &SoakOptions) -> anyhow::Result<SoakFleet> {
+async fn start_fleet(
+    options: &SoakOptions,
+    observed: SharedObservations,
+) -> anyhow::Result<SoakFleet> {
     let mut fleet = GatewayFleet::new(options.program.clone()).await?;
     fleet.write_config(&[GATEWAY_KEY]);
     let (mut backends, mut proxies) = (Vec::new(), Vec::new());
@@ -62,8 +67,15 @@
         backends.push(backend);
         proxies.push(proxy);
     }
-    let mut soak_fleet =
-        SoakFleet { fleet, backends, proxies, domains: Vec::new(), vm_processes: Vec::new() };
+    let mut soak_fleet = SoakFleet {
+        fleet,
+        backends,
+        proxies,
+        domains: Vec::new(),
+        vm_processes: Vec::new(),
+        states: vec![VmState::Running; usize::from(options.vms)],
+        observed,
+    };
     for vm in 0..options.vms {
         let domain = DOMAINS[usize::from(vm) % DOMAINS.len()];
         soak_fleet.domains.push(domain);
@@ -88,6 +100,13 @@
     report.sent = observed.sent;
     report.served = observed.served;
     report.violations.extend(observed.violations.iter().cloned());
+    for cut in &observed.cut {
+        if runs.contains_key(&cut.id) && !observed.is_excused(cut) {
+            let time = cut.ended_at - cut.sent_at;
+            let message = format!("{}: passed on, not answered by {} ({time:?})", cut.id, cut.vm);
+            report.violations.push(message);
+        }
+    }
     for (id, status) in &observed.writes {
         let count = runs.get(id).copied().unwrap_or(0);
         if count > 1 {
@@ -99,18 +118,20 @@
     }
 }
 
-/// Runs the soak test once.
+/// Runs the soak test once. An even seed has planned work only, since the faults of an odd one
+/// excuse most requests that a stop loses.
 ///
 /// # Errors
 /// If the fleet cannot be started, or a process cannot be signalled.
 pub async fn run(options: SoakOptions) -> anyhow::Result<Report> {
     let mut random = SmallRng::seed_from_u64(options.seed);
-    let mut soak_fleet = start_fleet(&options).await?;
-    let mut report = Report::default();
     let observed = SharedObservations::default();
+    let mut soak_fleet = start_fleet(&options, SharedObservations::clone(&observed)).await?;
+    let mut report = Report::default();
+    let planned_only = options.seed.is_multiple_of(2);
     let end = Instant::now() + options.duration;
     let vms: Vec<_> = (0..options.vms).map(|vm| soak_fleet.fleet.caller_address(vm)).collect();
-    let callers: Vec<_> = (0..CALLER_COUNT)
+    let callers: Vec<_> = (0..CALLERS_PER_VM * u64::from(options.vms))
         .map(|n| {
             tokio::spawn(send_requests(
                 options.seed * 100 + n,
@@ -121,10 +142,17 @@
         })
         .collect();
     while Instant::now() < end {
-        report.faults.push(soak_fleet.inject_random_fault(&mut random).await?);
-        tokio::time::sleep(Duration::from_millis(random.random_range(0..800))).await;
+        report.faults.push(soak_fleet.inject_random_fault(&mut random, planned_only)?);
+        let next = Instant::now() + Duration::from_millis(random.random_range(0..800));
+        while Instant::now() < next {
+            soak_fleet.advance()?;
+            tokio::time::sleep(STEP).await;
+        }
     }
     soak_fleet.clear_faults();
+    while !soak_fleet.advance()? {
+        tokio::time::sleep(STEP).await;
+    }
     for caller in callers {
         caller.await?;
     }
--- a/tools/soak/src/traffic.rs
+++ b/tools/soak/src/traffic.rs
@@ -3,16 +3,29 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use harness::{GATEWAY_KEY, HttpResponse, gateway_request};
+use harness::{Caller, GATEWAY_KEY, HttpResponse, gateway_request_on};
 use http::Method;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 /// Pause between two requests of a caller.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(25);
-/// Time limit for the end of every request: 3 s of the route, 1 s that the platform allows beyond
-/// it, and the start of a VM.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(6);
+/// Time beyond a request's deadline within which it must end: 1 s that the platform allows, and the
+/// start of a VM.
+const MAX_LATENESS: Duration = Duration::from_secs(3);
+
+/// A request whose connection ended without a response.
+#[derive(Clone, Debug)]
+pub struct CutRequest {
+    /// Request id.
+    pub id: String,
+    /// VM that it was sent to.
+    pub vm: SocketAddr,
+    /// When it was sent.
+    pub sent_at: Instant,
+    /// When the connection ended.
+    pub ended_at: Instant,
+}
 
 /// Observations of the callers.
 #[derive(Debug, Default)]
@@ -23,10 +36,22 @@
     pub served: u32,
     /// Number of requests sent.
     pub sent: u32,
+    /// Requests that ended without a response.
+    pub cut: Vec<CutRequest>,
+    /// VMs that were killed or paused, from when to when.
+    pub disrupted: Vec<(SocketAddr, Instant, Instant)>,
     /// Violated guarantees.
     pub violations: Vec<String>,
 }
 
+impl Observations {
+    /// Whether a VM was killed or paused while a request was on its way.
+    pub fn is_excused(&self, cut: &CutRequest) -> bool {
+        let overlaps = |from: Instant, to: Instant| from <= cut.ended_at && cut.sent_at <= to;
+        self.disrupted.iter().any(|(vm, from, to)| *vm == cut.vm && overlaps(*from, *to))
+    }
+}
+
 /// Observations shared by all callers.
 pub type SharedObservations = Arc<Mutex<Observations>>;
 
@@ -35,7 +60,32 @@
     observed.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Sends requests to random VMs until `end`, as one caller.
+/// A request to send.
+struct Request {
+    id: String,
+    method: Method,
+    path: String,
+    deadline_ms: u32,
+}
+
+/// Draws a request: reads and writes of up to 2.8 s, and long reads of up to 5.5 s. Most are short.
+fn draw_request(random: &mut SmallRng, id: String) -> Request {
+    let work_ms = match random.random_range(0..10) {
+        0..7 => random.random_range(5..50),
+        7..9 => random.random_range(300..1500),
+        _ => random.random_range(2000..2800),
+    };
+    let (method, route, work_ms, deadline_ms) = match random.random_range(0..5) {
+        0..2 => (Method::POST, "write", work_ms, 4000),
+        2..4 => (Method::GET, "read", work_ms, 4000),
+        _ => (Method::GET, "long", 2 * work_ms.min(2750), 10_000),
+    };
+    let path = format!("/{route}/work-{work_ms}/{id}");
+    Request { id, method, path, deadline_ms }
+}
+
+/// Sends requests to random VMs until `end`, as one caller. A connection is used until the VM
+/// closes it.
 pub async fn send_requests(
     seed: u64,
     vms: Vec<SocketAddr>,
@@ -43,50 +93,43 @@
     observed: SharedObservations,
 ) {
     let mut random = SmallRng::seed_from_u64(seed);
+    let mut callers: HashMap<SocketAddr, Caller> = HashMap::new();
     let mut number = 0;
     while Instant::now() < end {
         number += 1;
-        let id = format!("{seed:x}-{number}");
+        let request = draw_request(&mut random, format!("{seed:x}-{number}"));
         let vm = vms[random.random_range(0..vms.len())];
-        let write = random.random_bool(0.5);
-        let (method, path) = match write {
-            true => (Method::POST, format!("/write/{id}")),
-            false => (Method::GET, format!("/read/{id}")),
-        };
-        let start = Instant::now();
-        let response = gateway_request(vm, method, &path, &id, GATEWAY_KEY);
-        let response = tokio::time::timeout(REQUEST_TIMEOUT, response).await;
-        record_outcome(&observed, &id, &path, write, start.elapsed(), response);
+        let caller = callers.entry(vm).or_insert_with(|| Caller::new(vm));
+        let Request { id, method, path, deadline_ms } = &request;
+        let sent_at = Instant::now();
+        let send = gateway_request_on(caller, method.clone(), path, id, GATEWAY_KEY, *deadline_ms);
+        let limit = Duration::from_millis(u64::from(*deadline_ms)) + MAX_LATENESS;
+        match tokio::time::timeout(limit, send).await {
+            Err(_) => {
+                let message = format!("{id}: not finished after {:?}", sent_at.elapsed());
+                lock(&observed).violations.push(message);
+            }
+            Ok(Err(_)) => {
+                let id = id.clone();
+                lock(&observed).cut.push(CutRequest { id, vm, sent_at, ended_at: Instant::now() });
+            }
+            Ok(Ok(response)) => record_response(&observed, &request, &response),
+        }
+        lock(&observed).sent += 1;
         tokio::time::sleep(REQUEST_INTERVAL).await;
     }
 }
 
-/// Outcome of a request: timeout, no response, or a response.
-type RequestOutcome = Result<anyhow::Result<HttpResponse>, tokio::time::error::Elapsed>;
-
-fn record_outcome(
-    observed: &SharedObservations,
-    id: &str,
-    path: &str,
-    write: bool,
-    elapsed: Duration,
-    outcome: RequestOutcome,
-) {
+fn record_response(observed: &SharedObservations, request: &Request, response: &HttpResponse) {
     let mut observed = lock(observed);
-    observed.sent += 1;
-    let response = match outcome {
-        Err(_) => return observed.violations.push(format!("{id}: not finished after {elapsed:?}")),
-        // A closed connection violates no guarantee: the VM may have been killed.
-        Ok(Err(_)) => return,
-        Ok(Ok(response)) => response,
-    };
-    let status = response.status.as_u16();
-    if write {
-        observed.writes.insert(id.to_owned(), status);
+    let (id, status) = (&request.id, response.status.as_u16());
+    if request.method == Method::POST {
+        observed.writes.insert(id.clone(), status);
     }
     if status == 200 {
         observed.served += 1;
-        let matches = response.body == path.as_bytes() && response.header("request-id") == id;
+        let matches =
+            response.body == request.path.as_bytes() && response.header("request-id") == id;
         if !matches || response.header("response-signature").is_empty() {
             observed
                 .violations
--- a/tools/standins/src/gateway_backend.rs
+++ b/tools/standins/src/gateway_backend.rs
@@ -164,6 +164,12 @@
     }
 }
 
+/// Service time that a path states in a segment such as `work-1500`, in milliseconds.
+fn stated_time(path: &str) -> Option<Duration> {
+    let stated = path.split('/').find_map(|segment| segment.strip_prefix("work-"))?;
+    stated.parse().ok().map(Duration::from_millis)
+}
+
 type BackendResponse = Response<Full<Bytes>>;
 
 fn build_response(
@@ -260,7 +266,7 @@
             Ok(build_response(StatusCode::OK, &[id_header, signature_header, leaving], &path))
         }
         BackendMode::Normal | BackendMode::Shedding | BackendMode::Pausing => {
-            tokio::time::sleep(service_time).await;
+            tokio::time::sleep(stated_time(&path).unwrap_or(service_time)).await;
             let load = ("server-load", "1,0,4");
             Ok(build_response(StatusCode::OK, &[id_header, signature_header, load], &path))
         }
