--- a/components/dispatch/src/quota.rs
+++ b/components/dispatch/src/quota.rs
@@ -227,8 +227,8 @@
         if self.right.in_touch { share } else { share.min(1.0 / self.serving_vms) }
     }
 
-    /// Time since which every leader that has reported lately has reported again. What was reported to
-    /// them before that time has reached them, unless messages pass one way only.
+    /// Time since which every leader that has reported lately has reported again. What was reported
+    /// to them before that time has reached them, unless messages pass one way only.
     fn heard_all_since(&self, now: Uptime) -> Uptime {
         let recent = self.domains.values().copied();
         recent.filter(|at| now.saturating_sub(*at) < MAX_REPORT_AGE).min().unwrap_or(now)
