Name the not-run header of the stand-ins once

Cause: a test spelled a header of the platform's wire. Change: a constant in the stand-ins' wire module, used by the stand-in and the test.

--- a/tests/untrusted_responses.rs
+++ b/tests/untrusted_responses.rs
@@ -10,6 +10,7 @@
 };
 use http::Method;
 use standins::raw_backend::{RawStep, Script, raw_response};
+use standins::wire::NOT_RUN_HEADER;
 
 /// Timeout of the routes.
 const ROUTE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -94,8 +95,8 @@
 /// name no request.
 fn refusal(status: u16, id: Option<&str>) -> Vec<u8> {
     let id = id.map_or_else(String::new, |id| format!("Request-Id: {id}\r\n"));
-    format!("HTTP/1.1 {status} Refused\r\n{id}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
-        .into_bytes()
+    let head = format!("HTTP/1.1 {status} Refused\r\n{id}{NOT_RUN_HEADER}: 1\r\n");
+    format!("{head}Content-Length: 0\r\n\r\n").into_bytes()
 }
 
 /// A backend server that refuses each request whose id begins with `r`, and runs all others. While
--- a/tools/standins/src/gateway_backend.rs
+++ b/tools/standins/src/gateway_backend.rs
@@ -16,6 +16,7 @@
 use tokio::task::JoinHandle;
 
 use crate::acceptor::lock;
+use crate::wire::NOT_RUN_HEADER;
 
 /// Time between a crash and the close of the connection, in which the listener closes.
 const LISTENER_CLOSE_TIME: Duration = Duration::from_millis(20);
@@ -216,11 +217,11 @@
     };
     let id_header = ("request-id", request_id.as_str());
     if mode == BackendMode::Shedding {
-        let headers = [id_header, ("not-executed", "1"), ("server-load", "0,0,4")];
+        let headers = [id_header, (NOT_RUN_HEADER, "1"), ("server-load", "0,0,4")];
         return Ok(build_response(StatusCode::SERVICE_UNAVAILABLE, &headers, ""));
     }
     if mode == BackendMode::Pausing {
-        let headers = [id_header, ("not-executed", "1"), ("retry-after", "1.5")];
+        let headers = [id_header, (NOT_RUN_HEADER, "1"), ("retry-after", "1.5")];
         return Ok(build_response(StatusCode::SERVICE_UNAVAILABLE, &headers, ""));
     }
     // The complete body is read before the request runs.
--- a/tools/standins/src/wire.rs
+++ b/tools/standins/src/wire.rs
@@ -4,6 +4,8 @@
 
 /// Header with the id of the backend server that a request is meant for.
 pub const EXPECTED_INSTANCE_HEADER: &str = "expected-instance";
+/// Header by which a backend server says that it has not run a request.
+pub const NOT_RUN_HEADER: &str = "not-executed";
 /// Path at which callers ask for addresses of VMs.
 pub const RESOLVE_PATH: &str = "/-/resolve";
 /// Path of the readiness check.
