Close the listeners of a stopping VM before it refuses new requests

A caller whose connection is refused takes another VM; one that gets 503 or 429 may have no second try.

Cause: since requests are taken by their deadline after 0.4 of the grace period, the listeners, open until 0.75, accepted callers only to refuse them. Besides, a VM that had handed over spent only its part of a rate, although callers with old addresses still came, and a VM that had not served a route refused its slow requests at once.

Change: the listeners close after 0.45 of the grace period; a stopping VM spends half of the share, and the leaders have its reports; the expected time of an unknown route is the usual guess, since every request that was taken gets a response whatever it takes.

--- a/components/dispatch/src/domain_share.rs
+++ b/components/dispatch/src/domain_share.rs
@@ -21,7 +21,8 @@
 const FORGET_TIMEOUT: Duration = Duration::from_secs(30);
 /// Fraction for a VM that takes over while the old leader may still spend the whole share.
 const UNNOTICED_FRACTION: f64 = 0.25;
-/// Fraction that a leader may spend after it has lost touch with most others.
+/// Fraction that a leader may spend after it has lost touch with most others, and that a stopping
+/// VM may spend: its callers move to the new leader, which has its reports.
 const DETACHED_FRACTION: f64 = 0.5;
 
 /// What a VM may spend of the shares that its failure domain has in the rates.
@@ -51,6 +52,8 @@
     leading_since: Option<Uptime>,
     /// When this VM last stopped leading without a stop of the process.
     stepped_down: Option<Uptime>,
+    /// Whether the process was asked to stop.
+    is_stopping: bool,
     /// Leader that fell silent before this VM took over. In `heard` as long as it is set.
     predecessor: Option<Incarnation>,
 }
@@ -74,6 +77,11 @@
         }
     }
 
+    /// Records that the process was asked to stop.
+    pub fn begin_stop(&mut self) {
+        self.is_stopping = true;
+    }
+
     /// Records whether this VM leads. `previous` is the leader known before. Returns whether this
     /// VM has just taken over while another one may still be serving.
     pub fn set_leading(&mut self, now: Uptime, leads: bool, previous: Option<Incarnation>) -> bool {
@@ -110,6 +118,7 @@
         let silence = now.saturating_sub(heard_at);
         let in_touch = silence < TOUCH_TIMEOUT;
         let fraction = match self.leading_since {
+            None if self.is_stopping => DETACHED_FRACTION,
             // Its callers are few, and the leaders have its reports. Those of an old leader are all
             // that it had.
             None => match self.stepped_down {
--- a/components/dispatch/src/shutdown.rs
+++ b/components/dispatch/src/shutdown.rs
@@ -5,8 +5,9 @@
 /// Fraction of the grace period (from SIGTERM to SIGKILL) during which a request is taken by its
 /// expected time. Callers learn within this time that they should use another VM.
 const ESTIMATE_FRACTION: f64 = 0.4;
-/// Fraction of the grace period during which callers with old addresses may still connect.
-const LISTEN_FRACTION: f64 = 0.75;
+/// Fraction of the grace period during which callers with old addresses may still connect. A caller
+/// whose connection is refused takes another VM, whereas one with a 503 may have no second try.
+const LISTEN_FRACTION: f64 = 0.45;
 /// Fraction of the grace period after which every request that is still running gets a response.
 /// The rest is for sending the responses on a busy machine.
 const ANSWER_FRACTION: f64 = 0.93;
@@ -21,7 +22,7 @@
 /// Handles callers that still use the address of a stopping VM. Every request that was taken gets a
 /// response before the process ends. In the first part of the grace period, a request is taken if
 /// its expected time leaves room, because a caller may have no second try; the few that take
-/// longer get an error at `answer_by`. Later, one is taken only if its deadline passes before
+/// longer, and those of a route for which the time is a guess, get an error at `answer_by`. Later, one is taken only if its deadline passes before
 /// `answer_by`. All others are refused at once without running.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StopSchedule {
@@ -49,15 +50,12 @@
 
     /// Latest time at which a request may be sent to a backend server; zero for never.
     ///
-    /// `respond_by` is when it has its response at the latest, `expected` its expected time if the
-    /// VM has served such a request before.
-    pub fn send_until(&self, respond_by: Uptime, expected: Option<Duration>) -> Uptime {
+    /// `respond_by` is when it has its response at the latest, `expected` its expected time.
+    pub fn send_until(&self, respond_by: Uptime, expected: Duration) -> Uptime {
         if respond_by <= self.answer_by {
             return respond_by;
         }
-        expected.map_or(Uptime::ZERO, |expected| {
-            let latest = self.answer_by.saturating_sub(expected.mul_f64(EXPECTED_TIME_FACTOR));
-            latest.min(self.estimate_until)
-        })
+        let latest = self.answer_by.saturating_sub(expected.mul_f64(EXPECTED_TIME_FACTOR));
+        latest.min(self.estimate_until)
     }
 }
--- a/components/gateway/src/admission.rs
+++ b/components/gateway/src/admission.rs
@@ -230,8 +230,8 @@
 ) -> Result<ServiceId, Refusal> {
     let now = node.now();
     let mut state = node.state();
-    let expected = state.estimates.get(&route.id).map(RouteEstimate::time);
-    if !node.may_send(deadline, expected) {
+    let estimate: RouteEstimate = state.estimates.get(&route.id).copied().unwrap_or_default();
+    if !node.may_send(deadline, estimate.time()) {
         return Err(stopping_refusal());
     }
     if state.crash_suspects.is_blocked(now, fingerprint) {
--- a/components/gateway/src/attempts.rs
+++ b/components/gateway/src/attempts.rs
@@ -142,13 +142,7 @@
     Duration::from_secs_f64(estimate.time_s * OVERDUE_FACTOR).max(MIN_OVERDUE)
 }
 
-fn placement(
-    node: &Node,
-    req: &Admitted,
-    progress: &Progress,
-    estimate: RouteEstimate,
-) -> PlacementParams {
-    let known = node.state().estimates.get(&req.route.id).copied();
+fn placement(req: &Admitted, progress: &Progress, estimate: RouteEstimate) -> PlacementParams {
     let retryable = req.route.kind.is_idempotent() && progress.sends + 1 < req.route.max_attempts;
     PlacementParams {
         service: req.service.clone(),
@@ -158,7 +152,6 @@
         body_kb: req.outgoing.body.len() as f64 / 1000.0,
         objective_deadline: req.objective_deadline,
         deadline: req.outgoing.deadline,
-        expected: known.map(|known| known.time()),
         tried: progress.tried.clone(),
     }
 }
@@ -180,8 +173,7 @@
 ) -> Result<Slot, Refusal> {
     let latest = start_deadline(req, &estimate);
     node.running.record_wait(req.key, &req.route.id);
-    let result =
-        acquire(node, placement(node, req, progress, estimate), req.priority, latest).await;
+    let result = acquire(node, placement(req, progress, estimate), req.priority, latest).await;
     let slot = result.map_err(|no_slot| no_slot_refusal(no_slot, req, progress))?;
     progress.tried.push(slot.key);
     progress.sends += 1;
@@ -199,8 +191,7 @@
     if !take_retry(node, req) {
         return None;
     }
-    let slot =
-        acquire(node, placement(node, req, progress, estimate), req.priority, now).await.ok()?;
+    let slot = acquire(node, placement(req, progress, estimate), req.priority, now).await.ok()?;
     progress.tried.push(slot.key);
     progress.sends += 1;
     telemetry::event!(REQUEST_HEDGED, request = req.outgoing.request_id, route = req.route.id);
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -241,13 +241,13 @@
 
     /// Latest time at which a request may be sent to a backend server so that it has its response
     /// before the process ends; `None` while the process is not stopping.
-    pub fn send_until(&self, deadline: Uptime, expected: Option<Duration>) -> Option<Uptime> {
+    pub fn send_until(&self, deadline: Uptime, expected: Duration) -> Option<Uptime> {
         let stop = self.stop.get()?;
         Some(stop.send_until(deadline + DEADLINE_MARGIN, expected))
     }
 
     /// Whether a request may be sent to a backend server now.
-    pub fn may_send(&self, deadline: Uptime, expected: Option<Duration>) -> bool {
+    pub fn may_send(&self, deadline: Uptime, expected: Duration) -> bool {
         self.send_until(deadline, expected).is_none_or(|latest| self.now() <= latest)
     }
 
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -84,7 +84,8 @@
     let Ok(body) = store.read(body, store.limit()).await else {
         return unsent("the relay has no room for the request, or it did not arrive whole");
     };
-    if !node.may_send(deadline, None) {
+    // The time that such a request takes is not known here.
+    if !node.may_send(deadline, head.deadline.unwrap_or_default()) {
         return unsent("the relay stops");
     }
     parts.headers.remove(CONTENT_LENGTH);
--- a/components/gateway/src/signals.rs
+++ b/components/gateway/src/signals.rs
@@ -60,7 +60,11 @@
         _ = signals.interrupt.recv() => {}
     }
     let schedule = node.begin_stop();
-    node.state().election.set_eligible(false);
+    {
+        let mut state = node.state();
+        state.election.set_eligible(false);
+        state.domain_share.begin_stop();
+    }
     telemetry::event!(STOPPING, vm = node.boot_config.load().vm);
     // Sent twice, because a datagram may be lost.
     for _ in 0..2 {
--- a/components/gateway/src/slot.rs
+++ b/components/gateway/src/slot.rs
@@ -148,7 +148,7 @@
 }
 
 /// Waits until the process stops and may not send the request any more.
-async fn stop_forbids(node: &Node, deadline: Uptime, expected: Option<Duration>) {
+async fn stop_forbids(node: &Node, deadline: Uptime, expected: Duration) {
     node.stop_begun.cancelled().await;
     let latest = node.send_until(deadline, expected).unwrap_or_default();
     sleep(latest.saturating_sub(node.now())).await;
@@ -176,7 +176,7 @@
     start_deadline: Uptime,
 ) -> Result<Slot, NoSlot> {
     let service = params.service.clone();
-    let (deadline, expected) = (params.deadline, params.expected);
+    let (deadline, expected) = (params.deadline, params.estimate.time());
     if !node.may_send(deadline, expected) {
         return Err(NoSlot::Stopping);
     }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -72,8 +72,6 @@
     pub objective_deadline: Uptime,
     /// When the caller must have a response.
     pub deadline: Uptime,
-    /// Expected service time, if this VM has served such a request before.
-    pub expected: Option<Duration>,
     /// Backend servers that were tried before.
     pub tried: Vec<BackendKey>,
 }
