--- a/components/dispatch/tests/domain_share.rs
+++ b/components/dispatch/tests/domain_share.rs
@@ -263,7 +263,7 @@
             }
             let first = fleet.random.random_range(0..fleet.vms.len());
             for n in 0..fleet.vms.len() {
-                // Every third one, 0.35 of all as on the platform's worst day.
+                // Every third one; the platform cuts off up to 0.35 of all.
                 let other = (n * 7 + first).is_multiple_of(3);
                 match cut {
                     "domains" => fleet.vms[n].group = (n / VMS_PER_DOMAIN) as u32 + 1,
