Pass over VMs whose store calls fail when one must read the store

Cause: a standby watches the store once its data is 0.3 s old plus 0.4 s for each eligible VM of better rank, also if that VM has reported that the store refuses its calls.

Change: VMs of better rank whose heartbeats report failing calls do not count, up to four of them, so that a store that refuses everyone is not called by all VMs of a failure domain at once.

--- a/components/dispatch/src/election.rs
+++ b/components/dispatch/src/election.rs
@@ -13,6 +13,9 @@
 /// configuration.
 const ESTABLISHED_UPTIME: Duration = Duration::from_millis(1500);
 
+/// Number of VMs with failing calls that a VM passes over when it takes over the watch of the store.
+const MAX_PASSED_OVER: u32 = 4;
+
 /// Claim to be the leader of a failure domain; the highest claim wins.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct LeaderClaim {
@@ -148,19 +151,24 @@
         (heartbeat.uptime >= ESTABLISHED_UPTIME, capacity, std::cmp::Reverse(uptime), heartbeat.vm)
     }
 
-    /// Number of eligible VMs of better rank.
-    fn count_ahead(&self, now: Uptime) -> u32 {
+    /// Live eligible VMs of better rank.
+    fn ahead(&self, now: Uptime) -> impl Iterator<Item = Incarnation> {
         let own = Self::rank_key(&self.heartbeat(now));
         let live = self
             .peers
             .iter()
-            .filter(|peer| peer.received_at + PEER_TIMEOUT > now && peer.heartbeat.eligible);
-        let ahead = live.filter(|peer| {
+            .filter(move |peer| peer.received_at + PEER_TIMEOUT > now && peer.heartbeat.eligible);
+        let ahead = live.filter(move |peer| {
             let age = now.saturating_sub(peer.received_at);
             let heartbeat = PeerHeartbeat { uptime: peer.heartbeat.uptime + age, ..peer.heartbeat };
             Self::rank_key(&heartbeat) > own
         });
-        u32::try_from(ahead.count()).unwrap_or(u32::MAX)
+        ahead.map(|peer| peer.heartbeat.vm)
+    }
+
+    /// Number of eligible VMs of better rank.
+    fn count_ahead(&self, now: Uptime) -> u32 {
+        u32::try_from(self.ahead(now).count()).unwrap_or(u32::MAX)
     }
 
     /// Decides the role of this VM. Called every 100 ms and after a heartbeat.
@@ -223,8 +231,21 @@
         u32::try_from(live.filter(|peer| order(&peer.heartbeat) > own).count()).unwrap_or(u32::MAX)
     }
 
-    /// Number of standbys of better rank; 0 for the leader.
-    pub fn takeover_rank(&self, now: Uptime) -> u32 {
-        if self.own.claim.term > 0 { 0 } else { self.count_ahead(now) }
+    /// Number of VMs that watch the store before this one when the data is stale.
+    ///
+    /// Handles a store that refuses some VMs, perhaps all of the best ones: those whose calls are
+    /// known to fail are passed over. Their number is limited, because a store that refuses all VMs
+    /// gets calls from every VM that nobody precedes.
+    pub fn watch_rank(&self, now: Uptime, is_failing: impl Fn(Incarnation) -> bool) -> u32 {
+        if self.own.claim.term > 0 {
+            return 0;
+        }
+        let mut failing = 0;
+        let working = self.ahead(now).filter(|vm| {
+            failing += u32::from(is_failing(*vm));
+            !is_failing(*vm)
+        });
+        let working = u32::try_from(working.count()).unwrap_or(u32::MAX);
+        working.saturating_add(failing.saturating_sub(MAX_PASSED_OVER))
     }
 }
--- a/components/dispatch/tests/election.rs
+++ b/components/dispatch/tests/election.rs
@@ -152,3 +152,25 @@
     assert_eq!(large.poll(ms(650)), Role::Leader);
     assert_eq!(small.poll(ms(650)), Role::Standby);
 }
+
+// Guards against a failure domain without a reader of the store: the store refused the leader and the
+// best standbys, and each of the others waited 0.4 s longer for all of them.
+#[test]
+fn standby_passes_over_vms_whose_calls_to_the_store_fail() {
+    let mut fleet = Fleet::new(12);
+    fleet.run(600);
+    let now = fleet.now;
+    let leader = fleet.leaders()[0];
+    let rank = |vm: usize, failing: &[u64]| {
+        fleet.vms[vm].watch_rank(now, |other| failing.contains(&other))
+    };
+    let mut standbys: Vec<usize> = (0..12).filter(|vm| *vm != leader).collect();
+    standbys.sort_by_key(|vm| rank(*vm, &[]));
+    assert_eq!(rank(leader, &[]), 0);
+    let ids: Vec<u64> = standbys.iter().map(|vm| *vm as u64 + 1).collect();
+    let before = rank(standbys[3], &[]);
+    assert_eq!(rank(standbys[3], &ids[..3]), before - 3);
+    // A store that refuses all VMs is not called by all of them at once.
+    let everyone: Vec<u64> = (1..=12).collect();
+    assert_eq!(rank(standbys[10], &everyone), rank(standbys[10], &[]) - 4);
+}
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -184,7 +184,9 @@
     /// Number of VMs of this failure domain that precede this one in taking over the store watch.
     pub fn watch_rank(&self, state: &State, now: Uptime) -> u32 {
         if self.config.load().is_some() {
-            return state.election.takeover_rank(now);
+            let is_failing =
+                |vm| state.local_vms.get(&vm).is_some_and(|heartbeat| heartbeat.store_failing);
+            return state.election.watch_rank(now, is_failing);
         }
         state.election.store_read_rank(now)
     }
