Find the leaders of other failure domains through the seeds

A failure domain whose VMs the store refuses kept an old configuration although its leader can pull a newer one from the leader of another failure domain.

Cause: a leader finds the others in the store's table, or through a heartbeat that reached it while it was still starting. One that the store refuses from its start knows no other leader, and none knows it.

A seed that is no leader forwards it to its own, as for any other.

--- a/components/gateway/src/messaging.rs
+++ b/components/gateway/src/messaging.rs
@@ -105,6 +105,21 @@
     notify_leaders(node, &Datagram::Evidence(evidence.collect())).await;
 }
 
+/// Sends a leader's heartbeat to the seeds while the leader of a failure domain is unknown. A seed
+/// that is no leader forwards it to its own. The leaders are listed in the store as well, but the
+/// store may refuse this VM.
+async fn notify_seeds(node: &Node, datagram: &Datagram) {
+    let boot_config = node.boot_config.load_full();
+    let known = other_leader_addresses(node);
+    if known.len() + 1 >= boot_config.domain_regions.len() {
+        return;
+    }
+    let own = boot_config.listen.peers;
+    for seed in boot_config.seeds.iter().filter(|seed| **seed != own && !known.contains(seed)) {
+        send(node, *seed, datagram).await;
+    }
+}
+
 fn encode_demands(demands: Vec<(u32, f64)>) -> Vec<OrganisationDemand> {
     let encode_one = |(organisation, demand): (u32, f64)| OrganisationDemand {
         organisation,
@@ -119,7 +134,9 @@
     let demands = encode_demands(node.state().quota.demand_report(now));
     let is_leader = node.state().election.leader() == Some(node.incarnation);
     if is_leader {
-        notify_leaders(node, &Datagram::LeaderHeartbeat(own_heartbeat(node), demands)).await;
+        let datagram = Datagram::LeaderHeartbeat(own_heartbeat(node), demands);
+        notify_leaders(node, &datagram).await;
+        notify_seeds(node, &datagram).await;
     } else if !demands.is_empty() {
         notify_leaders(node, &Datagram::Demand(node.incarnation, demands)).await;
     }
--- a/tests/config_updates.rs
+++ b/tests/config_updates.rs
@@ -1,9 +1,10 @@
-//! Guards against large configurations that reach some VMs late because every VM pulls them whole over
-//! one slow link.
+//! Guards against configurations that reach some VMs late: large ones that every VM pulls whole over
+//! one slow link, and new ones that the store gives to no VM of a failure domain.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use harness::{GATEWAY_KEY as KEY, GatewayFleet, wait_until};
+use harness::{GATEWAY_KEY as KEY, GatewayFleet, gateway_request, wait_until};
+use http::Method;
 use serde_json::Value;
 use tarpc::tokio_serde::formats::Json;
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
@@ -79,3 +80,36 @@
     assert!(reply["rows"]["rows"].is_array(), "{}", reply["rows"]);
     Ok(())
 }
+
+// Guards against a failure domain that keeps an old configuration because the store refuses all of
+// its VMs, while the VMs of the others have the new one.
+#[tokio::test]
+async fn refused_failure_domain_learns_of_a_configuration_from_another_one() -> anyhow::Result<()> {
+    let mut fleet = GatewayFleet::new(env!("CARGO_BIN_EXE_papayareel-gateway")).await?;
+    let _backend = fleet.start_backend(1, "a1", Duration::from_millis(20)).await?;
+    fleet.write_config(&[KEY]);
+    fleet.start(0, "a1")?;
+    fleet.wait_until_ready(0, "a1").await?;
+    let closed = fleet.bind_backend(9).await?;
+    fleet.store_address = Some(closed.local_addr()?);
+    drop(closed);
+    fleet.start(1, "b1")?;
+    let refused = fleet.wait_until_ready(1, "b1").await?;
+    assert_eq!(refused, fleet.caller_address(1));
+
+    // Several in a row: each must arrive in time.
+    for round in 0..3 {
+        let key = format!("key-{round}");
+        fleet.write_config(&[KEY, &key]);
+        let written = Instant::now();
+        let accepted = || async {
+            let id = format!("id-{round}-{}", written.elapsed().as_millis());
+            let reply = gateway_request(refused, Method::GET, "/read/", &id, &key).await;
+            reply.is_ok_and(|reply| reply.status.as_u16() == 200)
+        };
+        assert!(wait_until(APPLY_LIMIT, accepted).await, "round {round}: {}", fleet.log(1));
+        // The other domain's next heartbeat is due at any time.
+        tokio::time::sleep(Duration::from_millis(370)).await;
+    }
+    Ok(())
+}
