Request changes again if other data was applied during a pull

A VM that read the store itself while it pulled from another VM threw the pulled changes of the list of backend servers away and pulled the complete list: at 84,000 backend servers, some 20 MB for a race that a reader of the store meets often.

Cause: changes that do not apply and changes that are out of date were handled alike.

Change: outdated changes are dropped, and what is still missing is requested as changes again. A source is paused only after a pull that brought nothing.

--- a/components/gateway/src/pull.rs
+++ b/components/gateway/src/pull.rs
@@ -152,21 +152,24 @@
     (whole || decode_with_checksum(&rows).1 == checksum).then_some(rows)
 }
 
-/// Pulls newer data from another VM and applies it. The source is paused if it did not bring what
-/// it had announced.
+/// Pulls newer data from another VM and applies it. The source is paused if that brought nothing.
 async fn pull_from(node: &Node, source: PullSource) {
-    let failure = match pull_and_apply(node, source).await {
+    let held = node.cache().versions();
+    let failure = match pull_and_apply(node, source, held).await {
         Some(failure) => failure,
-        None if source.versions.is_newer_than(node.cache().versions()) => PullFailure::Failed,
+        None if node.cache().versions() == held => PullFailure::Failed,
         None => return,
     };
     let (now, random) = (node.now(), node.random());
     node.state().pull_sources.pause(now, source.vm, failure, random);
 }
 
-async fn pull_and_apply(node: &Node, source: PullSource) -> Option<PullFailure> {
+async fn pull_and_apply(
+    node: &Node,
+    source: PullSource,
+    held: DataVersions,
+) -> Option<PullFailure> {
     let address: SocketAddr = source.address;
-    let held = node.cache().versions();
     let pull = Pull::new(node, source);
     let Some(reply) = pull.request(held).await else { return Some(PullFailure::Failed) };
     if reply.busy {
@@ -186,15 +189,16 @@
         apply_configuration(node, text.as_bytes(), &[], &address.to_string());
     }
     if let Some(update) = reply.rows {
-        let merged = {
-            let cache = node.cache();
-            // If another reply was applied first, these changes are relative to an older list.
-            let is_current = update.whole || cache.backends_version == held.backends;
-            if is_current { apply_rows(&cache.rows, update) } else { None }
-        };
-        match merged {
-            Some(rows) => apply_backends(node, rows, reply.backends_version, &address.to_string()),
-            None => pull_full_list(&pull).await,
+        // If other data was applied meanwhile, these changes are relative to an older list, and those
+        // that are left are requested again.
+        if update.whole || node.cache().backends_version == held.backends {
+            let merged = apply_rows(&node.cache().rows, update);
+            match merged {
+                Some(rows) => {
+                    apply_backends(node, rows, reply.backends_version, &address.to_string())
+                }
+                None => pull_full_list(&pull).await,
+            }
         }
     }
     if let Some(millis) = reply.confirmed_ms {
