Send large changes to a few VMs at a time as well

A version that changes most routes, or a release on many backend servers, would have been sent to all VMs of a failure domain at once: 29 kB for 1,400 routes, 14 MB to 480 VMs, 11 s of a link of 10 Mbit/s.

Cause: only the whole data needed a permit, changes of any size did not.

Change: whatever is larger than 8 KiB needs one of the four permits. Patches that are out of date because another configuration was applied during the pull are dropped, like outdated changes of the list.

Measured: large_updates_are_sent_to_a_few_vms_at_a_time passes; it was not run on the code before.

--- a/components/dispatch/src/config_history.rs
+++ b/components/dispatch/src/config_history.rs
@@ -12,6 +12,7 @@
 const MIN_PATCH_BYTES: usize = 64 << 10;
 /// Part of the size of the configuration that patches may take.
 const MAX_PATCH_FRACTION: usize = 16;
+
 /// Why an update cannot be applied. The whole configuration can be, whatever is held.
 #[derive(Debug, Error)]
 pub enum ConfigUpdateError {
@@ -115,11 +116,6 @@
         Ok(())
     }
 
-    /// Whether the patches from an older version on are kept.
-    pub fn leads_from(&self, version: ConfigVersion) -> bool {
-        self.patches.iter().any(|patch| patch.from == version)
-    }
-
     /// What a VM with a version needs; none if it has this one or a newer one.
     pub fn since(&mut self, version: ConfigVersion) -> io::Result<Option<ConfigUpdate>> {
         let Some(text) = self.text.as_ref().filter(|_| version < self.version) else {
--- a/components/dispatch/src/pull_sources.rs
+++ b/components/dispatch/src/pull_sources.rs
@@ -72,7 +72,7 @@
 pub enum PullFailure {
     /// No response, or an unusable one.
     Failed,
-    /// The source sends the whole configuration to as many VMs as it can.
+    /// The source sends much data to as many VMs as it can.
     Busy,
 }
 
@@ -144,7 +144,7 @@
             return PullDecision::UpToDate;
         }
         let behind_since = *self.behind_since.get_or_insert(now);
-        // A VM without a configuration cannot serve, and has no other way to get one soon.
+        // A VM without a configuration cannot serve.
         let remote_from = if held.config == 0 { now } else { behind_since + REMOTE_PAUSE };
         let ready_at = |known: &Known| match known.announcement.is_remote {
             true => known.paused_until.max(remote_from),
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -32,7 +32,7 @@
 /// Bytes of each response that do not count towards that part.
 const SMALL_RESPONSE_BYTES: usize = 16 << 10;
 
-/// VMs to which this one sends all data at the same time: over a slow link, more of them would only
+/// VMs to which this one sends much data at the same time: over a slow link, more of them would only
 /// delay the first, which is a source for the others as soon as it has the data.
 pub const MAX_TRANSFERS: usize = 4;
 
@@ -73,7 +73,7 @@
     pub watch_wake: Notify,
     /// Wakes the task that pulls newer data, after a heartbeat of another VM.
     pub pull_wake: Notify,
-    /// Permits to send all data to another VM.
+    /// Permits to send much data to another VM.
     pub transfers: Arc<Semaphore>,
     state: Mutex<State>,
     started: Instant,
--- a/components/gateway/src/pull.rs
+++ b/components/gateway/src/pull.rs
@@ -184,7 +184,10 @@
     // Before the list, so that a backend server that has left is not used in between.
     merge_notices(node, &reply.notices);
     if let Some(update) = reply.update {
-        pull.apply_update(update).await;
+        // Patches do not fit if another configuration was applied meanwhile.
+        if node.cache().config_version() == held.config {
+            pull.apply_update(update).await;
+        }
     } else if let Some(text) = &reply.configuration {
         apply_configuration(node, text.as_bytes(), &[], &address.to_string());
     }
--- a/components/gateway/src/store_cache.rs
+++ b/components/gateway/src/store_cache.rs
@@ -62,13 +62,20 @@
         DataVersions { config: self.config_version(), backends: self.backends_version }
     }
 
-    /// Whether a VM with these versions needs all of the configuration or all backend servers.
-    pub fn needs_all(&self, version: ConfigVersion, backends: u64) -> bool {
-        let needs_config =
-            version < self.config_version() && !self.configuration.leads_from(version);
-        let needs_backends =
-            backends < self.backends_version && self.changes.since(backends).is_none();
-        needs_config || needs_backends
+    /// Approximate number of bytes that a VM with these versions is missing.
+    pub fn bytes_since(&mut self, version: ConfigVersion, backends: u64) -> usize {
+        // An error here is one of the compression, and the whole text is sent.
+        let config = match self.configuration.since(version) {
+            Ok(update) => update.map_or(0, |update| update.size()),
+            Err(_) => usize::MAX / 2,
+        };
+        let size = |row: &StoreRow| row.key.len() + row.value.as_ref().map_or(0, |v| v.len());
+        let rows = match self.changes.since(backends) {
+            _ if backends >= self.backends_version => 0,
+            Some(keys) => keys.into_iter().filter_map(|key| self.rows.get(key)).map(size).sum(),
+            None => self.rows.values().map(size).sum::<usize>(),
+        };
+        config + rows
     }
 
     /// Time since the older of the two confirmations; one hour if either is missing.
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -22,8 +22,10 @@
 
 /// Upper bound of the time that a pull takes, at either end.
 pub const TRANSFER_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time for which a VM that needs all data waits until it can be sent. Short, since it may find
-/// another source meanwhile.
+/// Size up to which data is sent to any number of VMs at once.
+const SMALL_TRANSFER_BYTES: usize = 8 << 10;
+/// Time for which a VM that needs more waits until it can be sent. Short, since it may find another
+/// source meanwhile.
 const PERMIT_WAIT: Duration = Duration::from_millis(250);
 /// Delay after a failed accept, so that a lack of file descriptors causes no busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -100,10 +102,10 @@
     /// The configuration, if it is newer; none in older releases.
     #[serde(default)]
     pub update: Option<EncodedUpdate>,
-    /// Whether nothing is sent because all data is being sent to other VMs already.
+    /// Whether nothing is sent because much data is being sent to other VMs already.
     #[serde(default)]
     pub busy: bool,
-    /// Number of VMs that are being sent all data.
+    /// Number of VMs that are being sent much data.
     #[serde(default)]
     pub transfers: usize,
     /// Entries of backend servers, if they are newer.
@@ -199,7 +201,7 @@
 }
 
 impl SyncServer {
-    /// Waits until all data can be sent; returns whether it can.
+    /// Waits until much data can be sent; returns whether it can.
     async fn begin_transfer(&self) -> bool {
         if self.permit.get().is_some() {
             return true;
@@ -229,17 +231,17 @@
     ) -> SyncReply {
         let node = &self.node;
         let compressed = compressed == Some(true);
-        let needs_all = node.cache().needs_all(version, backends);
         // An older release would take the refusal for a response without anything newer.
-        if compressed && needs_all && !self.begin_transfer().await {
+        if compressed
+            && node.cache().bytes_since(version, backends) > SMALL_TRANSFER_BYTES
+            && !self.begin_transfer().await
+        {
             return SyncReply { busy: true, transfers: self.transfers(), ..SyncReply::default() };
         }
         let notices = active_notices(node);
         let mut cache = node.cache();
-        let update = match cache.configuration.since(version) {
-            Ok(update) if compressed => update,
-            _ => None,
-        };
+        let update =
+            if compressed { cache.configuration.since(version).ok().flatten() } else { None };
         let text = cache.configuration.text().filter(|_| cache.config_version() > version);
         let configuration = text.filter(|_| update.is_none()).as_deref().and_then(utf8_text);
         let rows =
--- a/components/telemetry/src/catalogue.rs
+++ b/components/telemetry/src/catalogue.rs
@@ -206,7 +206,7 @@
         "`end` says why. Compare `parsed`, `passed_on` (sent to a backend server) and `responded`; `unread_bytes` may hold requests that were not looked at, `blocked` means that the caller does not read its response.";
     KNOWLEDGE_HEARD = 951, Info, "knowledge-heard", "Another VM has announced a newer configuration than the one in force here.",
         "Nothing; event 923 or 901 with this version follows.";
-    KNOWLEDGE_BUSY = 952, Info, "knowledge-busy", "A VM sends all cached state to as many VMs as it can; another one is asked.",
+    KNOWLEDGE_BUSY = 952, Info, "knowledge-busy", "A VM sends much data to as many VMs as it can; another one is asked.",
         "Nothing, while event 923 follows.";
     PATCH_FAILED = 953, Warn, "patch-failed", "The difference to the previous configuration could not be computed; other VMs pull the whole one.",
         "Report it.";
--- a/tests/config_updates.rs
+++ b/tests/config_updates.rs
@@ -40,19 +40,25 @@
     }};
 }
 
-/// Starts a VM with a large configuration and writes one with another route; returns both versions.
+/// Writes a configuration and waits until it is in force; returns its version.
+async fn apply_config(fleet: &mut GatewayFleet, extra_routes: u16) -> anyhow::Result<u64> {
+    fleet.extra_routes = extra_routes;
+    let version = fleet.write_config(&[KEY]);
+    let learned = format!("\"version\":{version}");
+    let in_force =
+        || async { fleet.log(0).lines().any(|l| l.contains("901") && l.contains(&learned)) };
+    anyhow::ensure!(wait_until(APPLY_LIMIT, in_force).await, "{}", fleet.log(0));
+    Ok(version)
+}
+
+/// Starts a VM with a large configuration and adds a route; returns both versions.
 async fn fleet_with_added_route() -> anyhow::Result<(GatewayFleet, u64, u64)> {
     let mut fleet = GatewayFleet::new(env!("CARGO_BIN_EXE_papayareel-gateway")).await?;
     fleet.extra_routes = ROUTE_COUNT;
     let first = fleet.write_config(&[KEY]);
     fleet.start(0, "a1")?;
     fleet.wait_until_ready(0, "a1").await?;
-    fleet.extra_routes += 1;
-    let second = fleet.write_config(&[KEY]);
-    let learned = format!("\"version\":{second}");
-    let in_force =
-        || async { fleet.log(0).lines().any(|l| l.contains("901") && l.contains(&learned)) };
-    anyhow::ensure!(wait_until(APPLY_LIMIT, in_force).await, "{}", fleet.log(0));
+    let second = apply_config(&mut fleet, ROUTE_COUNT + 1).await?;
     Ok((fleet, first, second))
 }
 
@@ -81,6 +87,35 @@
     Ok(())
 }
 
+// Guards against transfers that share a slow link until all of them time out: a VM that starts, or that
+// lacks many routes, waits its turn or asks another VM.
+#[tokio::test]
+async fn large_updates_are_sent_to_a_few_vms_at_a_time() -> anyhow::Result<()> {
+    let (mut fleet, ..) = fleet_with_added_route().await?;
+    let before = apply_config(&mut fleet, 10).await?;
+    let after = apply_config(&mut fleet, ROUTE_COUNT).await?;
+    let last = apply_config(&mut fleet, ROUTE_COUNT + 1).await?;
+    let mut clients = Vec::new();
+    for version in [0, 0, before, 0] {
+        let client = connect!(SyncClient, fleet);
+        let reply =
+            client.knowledge(tarpc::context::current(), version, u64::MAX, Some(true)).await?;
+        assert_eq!(reply["busy"], false, "version {version}");
+        clients.push(client);
+    }
+    let late = connect!(SyncClient, fleet);
+    let call = |version| late.knowledge(tarpc::context::current(), version, u64::MAX, Some(true));
+    assert_eq!(call(0).await?["busy"], true);
+    assert_eq!(call(before).await?["busy"], true, "a patch with most routes");
+    let reply = call(after).await?;
+    assert_eq!(reply["update"]["Patches"][0]["to"], last, "a small patch needs no turn");
+
+    clients.pop();
+    let free = || async { call(0).await.is_ok_and(|reply| reply["busy"] == false) };
+    assert!(wait_until(APPLY_LIMIT, free).await, "the turn of a VM that has left is not passed on");
+    Ok(())
+}
+
 // Guards against a failure domain that keeps an old configuration because the store refuses all of
 // its VMs, while the VMs of the others have the new one.
 #[tokio::test]
--- a/tools/harness/src/gateway.rs
+++ b/tools/harness/src/gateway.rs
@@ -237,8 +237,11 @@
                 "max_header_bytes": self.max_header_bytes, "max_body_bytes": self.max_body_bytes, "header_timeout_ms": 3000,
                 "idle_timeout_ms": self.idle_timeout.as_millis() as u64}},
         ]});
-        let extra = (0..self.extra_routes)
-            .map(|n| route(&format!("extra-{n}"), &format!("/extra-{n}/"), "safe"));
+        // Names that compress no better than random ones.
+        let name =
+            |n: u16| format!("{:016x}", (u64::from(n) + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let extra =
+            (0..self.extra_routes).map(|n| route(&name(n), &format!("/extra-{n}/"), "safe"));
         if let Some(resources) = config["resources"].as_array_mut() {
             resources.extend(extra);
         }
