Check in the soak that a configuration is in force in time, and keep its logs

Change: 4 s after the last fault, a run adds a route, and each VM must find it within 2.5 s. A run with a violation keeps the logs, also of processes that have ended, and names their folder.

--- a/tools/harness/src/gateway.rs
+++ b/tools/harness/src/gateway.rs
@@ -1,6 +1,6 @@
 use std::ffi::OsString;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
@@ -50,6 +50,8 @@
     pub max_header_bytes: usize,
     /// Number of routes `/extra-N/` in the configurations written from now on.
     pub extra_routes: u16,
+    /// Whether the logs outlast this handle.
+    pub keep_logs: bool,
     program: OsString,
     folder: PathBuf,
     net: [u8; 2],
@@ -58,7 +60,8 @@
 
 impl Drop for GatewayFleet {
     fn drop(&mut self) {
-        if !std::thread::panicking() && std::env::var_os("PAPAYAREEL_KEEP_LOGS").is_none() {
+        let keep = self.keep_logs || std::env::var_os("PAPAYAREEL_KEEP_LOGS").is_some();
+        if !std::thread::panicking() && !keep {
             // An error is ignored, since the folder is in the temporary directory.
             let _ = std::fs::remove_dir_all(&self.folder);
         }
@@ -87,6 +90,7 @@
             idle_timeout: Duration::from_secs(15),
             max_header_bytes: 16_384,
             extra_routes: 0,
+            keep_logs: false,
             program: program.into(),
             folder,
             net,
@@ -139,6 +143,11 @@
     pub fn start(&mut self, vm: u8, domain: &str) -> anyhow::Result<usize> {
         let path = self.write_settings(vm, domain)?;
         let log = self.folder.join(format!("vm-{vm}.log"));
+        if log.exists() {
+            // The log of the previous process at this address.
+            let ended = self.folder.join(format!("vm-{vm}-until-{}.log", self.processes.len()));
+            std::fs::rename(&log, ended).context("cannot keep the log of an ended process")?;
+        }
         let process =
             Process::start("gateway", std::slice::from_ref(&self.program), &[path.into()], &log)?;
         self.processes.push(process);
@@ -161,6 +170,12 @@
         Ok(path)
     }
 
+    /// Returns the folder of the logs. That of a process that has ended has the number of the process
+    /// that replaced it in its name.
+    pub fn log_folder(&self) -> &Path {
+        &self.folder
+    }
+
     /// Returns the log of a VM.
     pub fn log(&self, vm: u8) -> String {
         std::fs::read_to_string(self.folder.join(format!("vm-{vm}.log"))).unwrap_or_default()
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -50,6 +50,9 @@
             passed = false;
             println!("  broken: {violation}");
         }
+        if let Some(logs) = &report.logs {
+            println!("  logs: {}", logs.display());
+        }
     }
     Ok(passed)
 }
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -1,5 +1,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 use harness::{GATEWAY_KEY, GatewayFleet, wait_until};
@@ -18,6 +20,10 @@
 const SERVICE_TIME: Duration = Duration::from_millis(20);
 /// Time within which every VM must serve again after the faults end.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(15);
+/// Time after the last fault from which a configuration must be in force everywhere in time.
+const SETTLING_TIME: Duration = Duration::from_secs(4);
+/// Time within which a configuration must be in force.
+const APPLY_LIMIT: Duration = Duration::from_millis(2500);
 /// Number of concurrent callers for each VM.
 const CALLERS_PER_VM: u64 = 4;
 /// Interval of checks for VMs that have stopped, or whose pause is over.
@@ -61,6 +67,8 @@
     pub not_counted: u32,
     /// Violated guarantees; empty if the run passed.
     pub violations: Vec<String>,
+    /// Folder of the logs, if a guarantee was violated.
+    pub logs: Option<PathBuf>,
 }
 
 async fn start_fleet(
@@ -182,6 +190,35 @@
     }
 }
 
+/// Returns whether a VM finds the route `/extra-N/` in time.
+async fn learns_route(vm: SocketAddr, number: u16) -> bool {
+    let (path, id) = (format!("/extra-{number}/"), format!("added-{vm}"));
+    let in_force = || async {
+        let response = harness::gateway_request(vm, Method::GET, &path, &id, GATEWAY_KEY).await;
+        response.is_ok_and(|response| response.status.as_u16() != 404)
+    };
+    wait_until(APPLY_LIMIT, in_force).await
+}
+
+/// Adds a route, and checks that all VMs find it in time.
+async fn check_configuration(
+    fleet: &mut GatewayFleet,
+    vms: &[SocketAddr],
+    report: &mut Report,
+) -> anyhow::Result<()> {
+    let added = fleet.extra_routes;
+    fleet.extra_routes += 1;
+    let version = fleet.write_config(&[GATEWAY_KEY]);
+    let checks: Vec<_> = vms.iter().map(|vm| tokio::spawn(learns_route(*vm, added))).collect();
+    for (vm, check) in vms.iter().zip(checks) {
+        if !check.await? {
+            let message = format!("{vm}: version {version} not in force after {APPLY_LIMIT:?}");
+            report.violations.push(message);
+        }
+    }
+    Ok(())
+}
+
 /// Runs the soak test once. An even seed has planned work only, since the faults of an odd one
 /// excuse most requests that a stop loses.
 ///
@@ -234,6 +271,12 @@
                 .push(format!("vm-{vm} does not serve again after the end of the faults"));
         }
     }
+    tokio::time::sleep(SETTLING_TIME).await;
+    check_configuration(&mut soak_fleet.fleet, &vms, &mut report).await?;
     check_guarantees(&soak_fleet, &observed, planned_only, &mut report);
+    if !report.violations.is_empty() {
+        soak_fleet.fleet.keep_logs = true;
+        report.logs = Some(soak_fleet.fleet.log_folder().to_owned());
+    }
     Ok(report)
 }
