Apply a first configuration of version 0 again

Cause: took version 0 for "none yet" where the text had said so before, and a first configuration r0 was dropped.

Change: as before, the first text is applied whatever its version.

--- a/components/gateway/src/store_cache.rs
+++ b/components/gateway/src/store_cache.rs
@@ -100,7 +100,7 @@
     let version = config.version;
     {
         let mut cache = node.cache();
-        if version <= cache.config_version() {
+        if cache.configuration.text().is_some() && version <= cache.config_version() {
             return;
         }
         if let Err(error) = cache.configuration.replace(version, value.into(), patches) {
