Log the request limits that backend servers name

Cause: no line told that a response named a limit, nor how many requests a VM sent to a backend server, so that the hypotheses of the incident could not be told apart.

Change: the adapter decodes the limit into a checked type; of several values the lowest readable one counts, and one that is no number of requests per second is kept apart from one that is absent. Events 956, 957 and 959 say what responses name, 958 how many requests this VM has sent to each limited backend server in about 4 s; two metrics sum them up. Nothing decides by it yet. A response is boxed in SendOutcome, since the variant has grown.

--- a/components/dispatch/src/backends.rs
+++ b/components/dispatch/src/backends.rs
@@ -4,7 +4,9 @@
 use kernel::prelude::*;
 use slotmap::{SlotMap, new_key_type};
 
-use crate::{Availability, Evidence, GrayDuration, Health, Notice, Notices, ShedRate, StartKey};
+use crate::{
+    Availability, Evidence, GrayDuration, Health, Notice, Notices, RequestLimit, ShedRate, StartKey,
+};
 
 /// Time for which a backend server is avoided by this VM after one failure to connect.
 const CONNECT_BACKOFF: Duration = Duration::from_millis(1500);
@@ -114,6 +116,10 @@
     pub last_full: Option<Uptime>,
     /// Fraction of its requests that it refuses without running them although it has free slots.
     pub shed_rate: ShedRate,
+    /// Request limit that its last response to this VM named.
+    pub limit: Option<RequestLimit>,
+    /// Number of requests that this VM has sent to it since the count was last reported.
+    pub unreported_sends: u32,
 }
 
 impl BackendState {
@@ -130,6 +136,8 @@
             last_sent: None,
             last_full: None,
             shed_rate: ShedRate::default(),
+            limit: None,
+            unreported_sends: 0,
         }
     }
 
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -21,6 +21,7 @@
 mod placement;
 mod pull_sources;
 mod quota;
+mod request_limit;
 mod retry_budget;
 mod shed_rate;
 mod short_hash;
@@ -51,6 +52,7 @@
     Announcement, DataVersions, PullDecision, PullFailure, PullSource, PullSources,
 };
 pub use quota::{Quota, QuotaDecision};
+pub use request_limit::{InvalidLimit, RequestLimit, StatedLimit};
 pub use retry_budget::WindowedRetryBudget;
 pub use shed_rate::ShedRate;
 pub use short_hash::short_hash;
--- a/components/gateway/src/attempts.rs
+++ b/components/gateway/src/attempts.rs
@@ -368,13 +368,13 @@
             let ResponseHead { not_run, misleading, .. } = response.head;
             let failed = response.status.is_server_error() || not_run || misleading;
             if !failed {
-                return Some(response);
+                return Some(*response);
             }
             if !response.head.not_run {
                 progress.maybe_run = true;
             }
             progress.cause = format!("{} of {}", response.status, attempt.backend).into();
-            progress.failure = Some(response).filter(|_| !misleading);
+            progress.failure = Some(*response).filter(|_| !misleading);
         }
         SendOutcome::Unsent(cause) => {
             progress.sends -= 1;
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -9,6 +9,7 @@
 use kernel::Uptime;
 use transport::{BodyEnd, SendFailure};
 
+use crate::limits::{count_send, record_limit};
 use crate::node::Node;
 use crate::notices::record_notice;
 use crate::pool::OpenError;
@@ -56,7 +57,7 @@
 #[derive(Debug)]
 pub enum SendOutcome {
     /// The backend server responded completely.
-    Completed(BackendResponse),
+    Completed(Box<BackendResponse>),
     /// Nothing was sent, usually because no connection could be opened. A relay may also refuse.
     Unsent(Box<str>),
     /// Nothing was sent, because a pooled connection had been closed.
@@ -150,6 +151,7 @@
     set_deadline(&mut outgoing.headers, outgoing.deadline.saturating_sub(node.now()));
     let request_id = outgoing.request_id.clone();
     let reused = connection.has_responded();
+    count_send(node, key);
     let response = match connection.send(outgoing.into_request()).await {
         Ok(response) => response,
         Err(SendFailure::Broken(error)) => return SendOutcome::Broken(error.to_string().into()),
@@ -163,6 +165,7 @@
         return SendOutcome::Broken(reason.into());
     }
     record_notice(node, key, &head);
+    record_limit(node, key, &head);
     let body = match read_response_body(node, incoming).await {
         Ok(body) => body,
         Err(cause) => return SendOutcome::Broken(cause),
@@ -174,12 +177,12 @@
         });
         node.pools.release(key, connection, idle_limit);
     }
-    SendOutcome::Completed(BackendResponse {
+    SendOutcome::Completed(Box::new(BackendResponse {
         status: parts.status,
         headers: parts.headers,
         head,
         body,
-    })
+    }))
 }
 
 /// Whether a backend server that broke a connection accepts a new one and so has not died.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod endpoints;
 mod exchange;
 mod http_server;
+mod limits;
 mod logs;
 mod messaging;
 mod metrics;
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -48,6 +48,8 @@
     attempt_duration: Histogram,
     config_version: Gauge,
     backends: Gauge,
+    limited_backends: Gauge,
+    limited_sends: Counter,
     leader: Gauge,
     cache_age_ms: Gauge,
 }
@@ -69,6 +71,8 @@
             attempt_duration: new_histogram(),
             config_version: Gauge::default(),
             backends: Gauge::default(),
+            limited_backends: Gauge::default(),
+            limited_sends: Counter::default(),
             leader: Gauge::default(),
             cache_age_ms: Gauge::default(),
             registry: Registry::default(),
@@ -87,6 +91,10 @@
         registry.register("attempt_seconds", help, m.attempt_duration.clone());
         registry.register("config_version", "Configuration in force", m.config_version.clone());
         registry.register("backends", "Backend servers known", m.backends.clone());
+        let help = "Backend servers with a request limit";
+        registry.register("limited_backends", help, m.limited_backends.clone());
+        let help = "Requests sent to backend servers with a request limit";
+        registry.register("limited_sends", help, m.limited_sends.clone());
         registry.register("home", "1 on the home of the failure domain", m.leader.clone());
         let help = "Time since the store confirmed what is known";
         registry.register("knowledge_age_milliseconds", help, m.cache_age_ms.clone());
@@ -134,6 +142,12 @@
         }
     }
 
+    /// Counts the backend servers with a request limit, and the requests that were sent to them.
+    pub fn record_limited(&self, backends: usize, sends: u32) {
+        self.limited_backends.set(backends as i64);
+        self.limited_sends.inc_by(sends.into());
+    }
+
     /// Sets the gauges.
     pub fn set_gauges(&self, config_version: u64, backends: usize, is_leader: bool, age: Duration) {
         self.config_version.set(config_version as i64);
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -123,6 +123,7 @@
             store_seen: None,
             unsent_evidence: Default::default(),
             unsent_notices: Default::default(),
+            limits_logged_at: Uptime::ZERO,
             placement_weights: PlacementWeights::default(),
         };
         Arc::new(Node {
--- a/components/gateway/src/periodic.rs
+++ b/components/gateway/src/periodic.rs
@@ -5,6 +5,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::datagram::Datagram;
+use crate::limits::report_limited;
 use crate::messaging::{
     notify_domain, own_heartbeat, send_demand, send_demand_changes, send_evidence,
 };
@@ -107,6 +108,7 @@
             _ = demand.tick() => {
                 send_demand(&node).await;
                 update_relays(&node);
+                report_limited(&node);
                 prune_and_report(&node);
             }
         }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -16,6 +16,7 @@
 use crate::exchange::{
     BackendResponse, OutgoingRequest, SendOutcome, exchange, is_alive, read_response_body,
 };
+use crate::limits::record_limit;
 use crate::node::Node;
 use crate::notices::record_notice;
 use crate::pool::open;
@@ -103,7 +104,7 @@
         () = node.answers_due() => SendOutcome::Broken("the relay ended".into()),
     };
     match outcome {
-        SendOutcome::Completed(response) => relayed_response(response),
+        SendOutcome::Completed(response) => relayed_response(*response),
         SendOutcome::Unsent(cause) => unsent(&cause),
         SendOutcome::Stale => unsent("the relay's idle connection was closed"),
         SendOutcome::Withheld(cause) => unsent(cause),
@@ -184,12 +185,13 @@
     }
     let head = decode_response_head(parts.status, &parts.headers);
     record_notice(node, key, &head);
-    SendOutcome::Completed(BackendResponse {
+    record_limit(node, key, &head);
+    SendOutcome::Completed(Box::new(BackendResponse {
         status: parts.status,
         headers: parts.headers,
         head,
         body,
-    })
+    }))
 }
 
 /// VMs of this failure domain to query as relays, starting at a random one.
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -139,6 +139,8 @@
     pub unsent_evidence: UnsentEvidence,
     /// Starts of backend servers whose notices were not sent to other VMs yet.
     pub unsent_notices: BTreeSet<StartKey>,
+    /// When the requests to backend servers with a request limit were last logged.
+    pub limits_logged_at: Uptime,
     /// Weights of the placement decision.
     pub placement_weights: PlacementWeights,
 }
--- a/components/telemetry/src/catalogue.rs
+++ b/components/telemetry/src/catalogue.rs
@@ -214,4 +214,12 @@
         "Nothing, if it is rare.";
     WATCH_BEGUN = 955, Info, "watch-begun", "This VM begins to read the store itself.",
         "Nothing; `reason` says why.";
+    BACKEND_LIMITED = 956, Warn, "backend-limited", "A backend server names in a response the requests per second that it takes from all VMs together, or another number than before.",
+        "Add backend servers to the service if it lasts.";
+    LIMIT_ENDED = 957, Info, "limit-ended", "A backend server no longer names a request limit.",
+        "Nothing.";
+    LIMITED_LOAD = 958, Info, "limited-load", "Requests that this VM has sent to a backend server with a request limit, about every 4 s.",
+        "Compare the sum over all VMs with `limit`.";
+    LIMIT_UNREADABLE = 959, Warn, "limit-unreadable", "The request limit that a backend server names is no number of requests per second; what is known of it stays in force.",
+        "Correct the backend server.";
 }
