Reproduce that backend servers get more requests than their limit

Cause: nothing decides by the limit that a backend server names.

The stand-in of a backend server names limits.

--- a/tools/standins/src/gateway_backend.rs
+++ b/tools/standins/src/gateway_backend.rs
@@ -21,6 +21,9 @@
 /// Time between a crash and the close of the connection, in which the listener closes.
 const LISTENER_CLOSE_TIME: Duration = Duration::from_millis(20);
 
+/// Header with the requests a second that a backend server takes from all VMs together.
+const LIMIT_HEADER: &str = "server-limit";
+
 /// How a backend server handles requests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum BackendMode {
@@ -67,6 +70,8 @@
 #[derive(Default)]
 struct State {
     mode: BackendMode,
+    /// Values of the request limit that it names in its responses.
+    limits: Vec<String>,
     service_time: Duration,
     observed: ObservedRequests,
     /// Requests in flight.
@@ -149,6 +154,12 @@
         lock(&self.state).mode = mode;
     }
 
+    /// Sets the values of the request limit that it names in its responses from now on; none if empty.
+    /// It goes on serving beyond its limit.
+    pub fn set_limits(&self, limits: &[&str]) {
+        lock(&self.state).limits = limits.iter().map(|limit| (*limit).to_owned()).collect();
+    }
+
     /// Returns the requests received so far.
     pub fn observed(&self) -> ObservedRequests {
         lock(&self.state).observed.clone()
@@ -202,6 +213,20 @@
     request: Request<Incoming>,
 ) -> Result<BackendResponse, io::Error> {
     record_headers(state, &request);
+    let mut response = respond(state, id, request).await?;
+    for limit in &lock(state).limits {
+        if let Ok(value) = HeaderValue::from_bytes(limit.as_bytes()) {
+            response.headers_mut().append(LIMIT_HEADER, value);
+        }
+    }
+    Ok(response)
+}
+
+async fn respond(
+    state: &Arc<Mutex<State>>,
+    id: &str,
+    request: Request<Incoming>,
+) -> Result<BackendResponse, io::Error> {
     let header = |name: &str| {
         let value = request.headers().get(name).and_then(|v| v.to_str().ok());
         value.unwrap_or_default().to_owned()
