Send a limited backend server what its limit allows, from all VMs together

Callers were served.

Cause: the limit was not read. It also holds for all VMs together, while leaders, standbys and VMs of other failure domains send on their own account: half of the requests came from standbys.

Change: one owner for each limited server, the leader of its failure domain, paces the requests (Pace) and gives the others leave (permits). What it may spend follows DomainShare, as for the rates of organisations. Other VMs ask with the requests that wait there; the owner serves them and its own in one order. Permits that nobody uses are returned. The limits of a failure domain without a leader are spent by the other leaders in small parts. A new owner begins without tokens. Limits are told to the failure domain and the leaders, by age: a response may raise or end a limit only if its request was sent after it was last named. Waiting requests are woken when a token is due, and the expected wait and Retry-After count limits. An idle limited server gets the next request, so that it can say that its limit has ended.

--- a/components/dispatch/src/backends.rs
+++ b/components/dispatch/src/backends.rs
@@ -1,11 +1,12 @@
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 use kernel::prelude::*;
 use slotmap::{SlotMap, new_key_type};
 
 use crate::{
-    Availability, Evidence, GrayDuration, Health, Notice, Notices, RequestLimit, ShedRate, StartKey,
+    Availability, Evidence, GrayDuration, Health, LimitChange, LimitReport, LimitTable, Notice,
+    Notices, Pace, PaceRight, RequestLimit, ShedRate, StartKey,
 };
 
 /// Time for which a backend server is avoided by this VM after one failure to connect.
@@ -116,10 +117,12 @@
     pub last_full: Option<Uptime>,
     /// Fraction of its requests that it refuses without running them although it has free slots.
     pub shed_rate: ShedRate,
-    /// Request limit that its last response to this VM named.
-    pub limit: Option<RequestLimit>,
+    /// Pace at which it is sent requests; `None` while it names no request limit.
+    pub pace: Option<Pace>,
     /// Number of requests that this VM has sent to it since the count was last reported.
     pub unreported_sends: u32,
+    /// Number of permits that this VM has given to others since the count was last reported.
+    pub unreported_permits: u32,
 }
 
 impl BackendState {
@@ -136,8 +139,9 @@
             last_sent: None,
             last_full: None,
             shed_rate: ShedRate::default(),
-            limit: None,
+            pace: None,
             unreported_sends: 0,
+            unreported_permits: 0,
         }
     }
 
@@ -159,6 +163,18 @@
         self.other_load = (running.saturating_add(queued).saturating_sub(self.in_flight), now);
     }
 
+    /// Whether its request limit, if it has one, allows a request now without a permit.
+    pub fn is_within_limit(&self, now: Uptime) -> bool {
+        self.pace.is_none_or(|pace| pace.has_token(now))
+    }
+
+    /// Returns the token of a request that was not sent to it, unless that was sent by a permit.
+    pub fn refund(&mut self) {
+        if let Some(pace) = self.pace.as_mut().filter(|pace| pace.right() != PaceRight::Permit) {
+            pace.refund();
+        }
+    }
+
     /// Records a failure to connect.
     pub fn record_unreachable(&mut self, now: Uptime) {
         self.reachability.failures = (self.reachability.failures + 1).min(8);
@@ -177,9 +193,12 @@
 pub struct Backends {
     states: SlotMap<BackendKey, BackendState>,
     ids: HashMap<BackendId, BackendKey>,
+    starts: HashMap<StartKey, BackendKey>,
     services: HashMap<ServiceId, Vec<BackendKey>>,
     /// What backend servers have said about themselves, also of unlisted ones.
     notices: Notices,
+    /// Request limits that they have named, also of unlisted ones.
+    limits: LimitTable,
     /// Expected duration of a gray period.
     gray_duration: GrayDuration,
 }
@@ -210,7 +229,10 @@
                 Some(state) => state.entry = entry.clone(),
                 None => {
                     let notice = self.notices.get(Notices::key(entry));
-                    let key = self.states.insert(BackendState::new(now, entry.clone(), notice));
+                    let limit = self.limits.limit(Notices::key(entry));
+                    let mut state = BackendState::new(now, entry.clone(), notice);
+                    state.pace = limit.map(|limit| Pace::new(now, limit));
+                    let key = self.states.insert(state);
                     self.ids.insert(entry.id.clone(), key);
                     added.push(key);
                 }
@@ -220,9 +242,10 @@
         for (key, state) in &self.states {
             self.services.entry(state.entry.service.clone()).or_default().push(key);
         }
-        let listed: HashSet<StartKey> =
-            self.states.values().map(|state| Notices::key(&state.entry)).collect();
-        self.notices.prune(now, |key| listed.contains(&key));
+        self.starts =
+            self.states.iter().map(|(key, state)| (Notices::key(&state.entry), key)).collect();
+        self.notices.prune(now, |key| self.starts.contains_key(&key));
+        self.limits.prune(now, |key| self.starts.contains_key(&key));
         (added, removed)
     }
 
@@ -245,7 +268,7 @@
         if !self.notices.merge(now, start, notice) {
             return;
         }
-        for state in self.states.values_mut().filter(|s| Notices::key(&s.entry) == start) {
+        if let Some(state) = self.find_start(start).and_then(|key| self.states.get_mut(key)) {
             state.notice.merge(notice);
         }
     }
@@ -255,6 +278,119 @@
         self.notices.active(now)
     }
 
+    /// Records what a backend server said about its request limit in a response to this VM. Returns
+    /// its start and what has changed, if it has a limit or had one.
+    pub fn record_limit(
+        &mut self,
+        now: Uptime,
+        key: BackendKey,
+        report: LimitReport,
+    ) -> Option<(StartKey, LimitChange)> {
+        let state = self.states.get(key)?;
+        if state.pace.is_none() && report.limit.is_none() {
+            return None;
+        }
+        let start = Notices::key(&state.entry);
+        let before = self.limits.limit(start);
+        let change = self.limits.record(now, start, report);
+        self.apply_limit(now, start, before);
+        Some((start, change))
+    }
+
+    /// Merges what another VM reports of a request limit.
+    pub fn merge_limit(
+        &mut self,
+        now: Uptime,
+        start: StartKey,
+        report: LimitReport,
+    ) -> LimitChange {
+        let before = self.limits.limit(start);
+        let change = self.limits.merge(now, start, report);
+        self.apply_limit(now, start, before);
+        change
+    }
+
+    /// Sets the pace of a backend server to its limit if that is another one than before.
+    fn apply_limit(&mut self, now: Uptime, start: StartKey, before: Option<RequestLimit>) {
+        let limit = self.limits.limit(start);
+        if limit == before {
+            return;
+        }
+        let Some(state) = self.find_start(start).and_then(|key| self.states.get_mut(key)) else {
+            return;
+        };
+        match (&mut state.pace, limit) {
+            (Some(pace), Some(limit)) => pace.set_limit(now, limit),
+            (pace, limit) => *pace = limit.map(|limit| Pace::new(now, limit)),
+        }
+    }
+
+    /// What is known of a request limit.
+    pub fn limit_report(&self, start: StartKey) -> Option<LimitReport> {
+        self.limits.get(start)
+    }
+
+    /// Request limits in force, to be reported to other VMs.
+    pub fn active_limits(&self) -> impl Iterator<Item = (StartKey, LimitReport)> + '_ {
+        self.limits.active()
+    }
+
+    /// Sets how this VM may spend the request limits of a service's backend servers. Returns whether
+    /// one of them has a limit.
+    pub fn set_pace_rights(
+        &mut self,
+        now: Uptime,
+        service: &str,
+        mut right: impl FnMut(&BackendEntry) -> PaceRight,
+        mut phase: impl FnMut() -> f64,
+    ) -> bool {
+        let mut is_limited = false;
+        for key in self.services.get(service).map_or(&[][..], Vec::as_slice) {
+            let Some(state) = self.states.get_mut(*key) else { continue };
+            if let Some(pace) = &mut state.pace {
+                pace.set_right(now, right(&state.entry), phase());
+                is_limited = true;
+            }
+        }
+        is_limited
+    }
+
+    /// Key of a listed backend server by its start.
+    pub fn find_start(&self, start: StartKey) -> Option<BackendKey> {
+        self.starts.get(&start).copied()
+    }
+
+    /// Chooses a limited backend server of a service for a request that waits on another VM, and
+    /// spends the token: among those that this VM owns the limits of, one that is unlikely to be gray
+    /// and has the least load.
+    pub fn grant_permit(&mut self, now: Uptime, service: &str) -> Option<StartKey> {
+        let rank = |key: &BackendKey| {
+            let state = self.states.get(*key)?;
+            let pace = state.pace.filter(|pace| matches!(pace.right(), PaceRight::Owner(_)))?;
+            let is_ready = state.availability(now) == Availability::Ready;
+            let has_room = state.load(now) < state.entry.slots && pace.has_token(now);
+            let is_gray = self.gray_probability(now, *key) > 0.5;
+            let load = f64::from(state.load(now)) / f64::from(state.entry.slots);
+            (is_ready && has_room).then_some((is_gray, load, *key))
+        };
+        let keys = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        let order = |a: &(bool, f64, BackendKey), b: &(bool, f64, BackendKey)| {
+            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+        };
+        let (_, _, key) = keys.iter().filter_map(rank).min_by(order)?;
+        let state = self.states.get_mut(key)?;
+        state.pace.as_mut()?.take(now);
+        state.unreported_permits = state.unreported_permits.saturating_add(1);
+        Some(Notices::key(&state.entry))
+    }
+
+    /// Returns the token of a permit that another VM did not use.
+    pub fn return_permit(&mut self, start: StartKey) {
+        if let Some(state) = self.find_start(start).and_then(|key| self.states.get_mut(key)) {
+            state.refund();
+        }
+    }
+
     /// The backend servers of a service.
     pub fn of_service(&self, service: &str) -> impl Iterator<Item = (BackendKey, &BackendState)> {
         let keys = self.services.get(service).map_or(&[][..], Vec::as_slice);
@@ -290,6 +426,7 @@
     pub fn remove(&mut self, key: BackendKey) {
         if let Some(state) = self.states.remove(key) {
             self.ids.remove(&state.entry.id);
+            self.starts.remove(&Notices::key(&state.entry));
             if let Some(keys) = self.services.get_mut(&state.entry.service) {
                 keys.retain(|k| *k != key);
             }
--- a/components/dispatch/src/domain_share.rs
+++ b/components/dispatch/src/domain_share.rs
@@ -96,6 +96,11 @@
                 || now.saturating_sub(self.majority_heard(now)) >= TOUCH_TIMEOUT)
     }
 
+    /// Time for which this VM has led; `None` for a standby.
+    pub fn led_for(&self, now: Uptime) -> Option<Duration> {
+        self.leading_since.map(|since| now.saturating_sub(since))
+    }
+
     /// Number of other VMs that were heard within a time.
     fn heard_within(&self, now: Uptime, timeout: Duration) -> usize {
         self.heard.values().filter(|at| now.saturating_sub(**at) < timeout).count()
--- a/components/dispatch/src/election.rs
+++ b/components/dispatch/src/election.rs
@@ -201,6 +201,11 @@
         Role::Standby
     }
 
+    /// Whether this VM claims to be the leader.
+    pub fn leads(&self) -> bool {
+        self.own.claim.term > 0
+    }
+
     /// The leader, if one is known.
     pub fn leader(&self) -> Option<Incarnation> {
         (self.leader.0.term > 0).then_some(self.leader.0.vm)
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -15,9 +15,12 @@
 mod election;
 mod gateway_config;
 mod health;
+mod limit_table;
 mod notice;
 mod outage;
 mod outcome_window;
+mod pace;
+mod permit_requests;
 mod placement;
 mod pull_sources;
 mod quota;
@@ -44,9 +47,12 @@
     ServiceWeight,
 };
 pub use health::{Evidence, GrayDuration, Health};
+pub use limit_table::{LimitChange, LimitReport, LimitTable};
 pub use notice::{Availability, MAX_PAUSE, Notice, Notices, StartKey};
 pub use outage::Outage;
 pub use outcome_window::OutcomeWindow;
+pub use pace::{DomainView, Pace, PaceRight};
+pub use permit_requests::{MAX_REMOTE_WAITERS, PermitAddress, PermitRequests, RemoteWaiter};
 pub use placement::{Coverage, Distance, Placement, PlacementRequest, PlacementWeights, place};
 pub use pull_sources::{
     Announcement, DataVersions, PullDecision, PullFailure, PullSource, PullSources,
@@ -59,4 +65,4 @@
 pub use shutdown::StopSchedule;
 pub use store_watch::{WatchConditions, WatchReason, may_start_serving};
 pub use traffic_split::TrafficSplit;
-pub use wait_queue::{NotQueued, QueueCapacity, WaitQueue, Waiter, WaiterId};
+pub use wait_queue::{NextWaiter, NotQueued, QueueCapacity, WaitQueue, Waiter, WaiterId};
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -42,6 +42,9 @@
     /// Time without a request, in seconds, after which a backend server counts as idle and is
     /// probed while its service fails.
     pub idle_threshold_s: f64,
+    /// Value of a request to an idle backend server with a request limit, which cannot say otherwise
+    /// that the limit has ended.
+    pub unheard_bonus: f64,
 }
 
 impl Default for PlacementWeights {
@@ -65,6 +68,8 @@
             // Well below the 2 s within which most backend servers of a failing service must have
             // had a request.
             idle_threshold_s: 1.2,
+            // Above the differences between healthy backend servers, below the cost of a gray one.
+            unheard_bonus: 0.15,
         }
     }
 }
@@ -157,7 +162,10 @@
     }
     let local = || {
         let local = candidates.iter().filter(|(_, _, distance)| *distance == Distance::Domain);
-        local.filter(|(_, state, _)| state.availability(now) == Availability::Ready)
+        local.filter(|(_, state, _)| {
+            // A request limit leaves no requests for probes.
+            state.availability(now) == Availability::Ready && state.pace.is_none()
+        })
     };
     let idle = local().filter(|(_, state, _)| is_idle(now, state, weights)).count();
     idle > request.coverage.max_idle(local().count())
@@ -204,7 +212,17 @@
     let is_probe = (probe || state.last_sent.is_none())
         && distance == Distance::Domain
         && is_idle(now, state, weights);
-    let probe_bonus = if is_probe { 1.0 } else { 0.0 };
+    let is_unheard = state.pace.is_some()
+        && distance == Distance::Domain
+        && is_idle(now, state, weights)
+        && (request.retryable || !request.coverage.has_retryable);
+    let probe_bonus = if is_probe {
+        1.0
+    } else if is_unheard {
+        weights.unheard_bonus
+    } else {
+        0.0
+    };
     let load_cost = 0.02 * load * load;
     let shed_loss = state.shed_rate.get(now) * weights.shed_cost;
     request.value
@@ -220,8 +238,8 @@
 }
 
 /// Places a request on the backend server that has a free slot and the least expected loss. Backend
-/// servers that are leaving or have asked for a pause, and those that the request was already sent
-/// to, are left out.
+/// servers that are leaving or have asked for a pause, those that the request was already sent to,
+/// and those whose request limit is used up are left out.
 ///
 /// Handles a service of which a third is gray and some failure domains have few backend servers:
 /// requests go to another failure domain when the expected loss in their own is higher than the
@@ -252,6 +270,9 @@
             }
         }
         any = true;
+        if !state.is_within_limit(now) {
+            continue;
+        }
         let loss = estimate_loss(now, state, distance, request, probe, gray_duration, weights);
         if has_free_slot(now, state) {
             if best.is_none_or(|(least, _)| loss < least) {
--- a/components/dispatch/src/wait_queue.rs
+++ b/components/dispatch/src/wait_queue.rs
@@ -1,7 +1,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use kernel::Uptime;
+use kernel::{Incarnation, Uptime};
+
+use crate::RemoteWaiter;
 
 /// Id of a waiting request, unique on one VM.
 pub type WaiterId = u64;
@@ -10,6 +12,8 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Upper bound of the Retry-After of a rejected request.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(3);
+/// The same while request limits bound the starts: they hold for longer than a burst.
+const MAX_LIMITED_RETRY_AFTER: Duration = Duration::from_secs(30);
 /// Time after the end of a pause over which the rejected callers return.
 const PAUSE_SPREAD: Duration = Duration::from_secs(1);
 /// Lower bound of the window over which the rate of starts is measured.
@@ -35,6 +39,26 @@
     pub expected_s: f64,
     /// When the first slot can become free: now, or the end of a pause that all have asked for.
     pub available_at: Uptime,
+    /// Starts per second that request limits allow, of the backend servers that have one and are not
+    /// counted in `slots`; `None` if there is none.
+    pub limited_rate: Option<f64>,
+}
+
+impl QueueCapacity {
+    /// Starts per second that slots and request limits allow together.
+    fn max_rate(&self) -> Option<f64> {
+        let of_slots = f64::from(self.slots) / self.expected_s.max(0.01);
+        self.limited_rate.map(|limited| of_slots + limited)
+    }
+}
+
+/// Next in the order in which requests start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NextWaiter {
+    /// A request in the queue of this VM.
+    Own(WaiterId),
+    /// A request that waits on another VM.
+    Remote(Incarnation),
 }
 
 /// A request that was not queued. It was not run.
@@ -82,12 +106,15 @@
     }
 
     /// Estimated starts per second.
-    fn start_rate(&self, now: Uptime, slots: u32, expected_s: f64) -> f64 {
+    fn start_rate(&self, now: Uptime, capacity: &QueueCapacity) -> f64 {
         let (since, count, rate) = self.starts;
         let age = now.saturating_sub(since).as_secs_f64();
         let recent = if age > 0.5 { f64::from(count) / age } else { rate };
         // A service that was idle has no recent starts; half of what its slots allow is assumed.
-        recent.max(rate).max(f64::from(slots) / expected_s.max(0.01) * 0.5)
+        let idle_rate = f64::from(capacity.slots) / capacity.expected_s.max(0.01) * 0.5;
+        let estimate = recent.max(rate).max(idle_rate + capacity.limited_rate.unwrap_or(0.0));
+        // The starts of the last seconds may be those before a limit.
+        capacity.max_rate().map_or(estimate, |most| estimate.min(most))
     }
 
     /// Queues a request if it is expected to start before its deadline, after all requests ahead of
@@ -102,24 +129,33 @@
     ) -> Result<(), NotQueued> {
         let ahead = self.queue.range(..(waiter.priority, waiter.start_deadline, id)).count();
         let pause = capacity.available_at.saturating_sub(now);
-        let rate = self.start_rate(now, capacity.slots, capacity.expected_s);
+        let rate = self.start_rate(now, &capacity);
         let wait = pause + Duration::from_secs_f64((ahead as f64 + 1.0) / rate.max(0.1));
         if now + wait > waiter.start_deadline {
-            let retry_after = self.retry_after(rate);
+            let most = match capacity.limited_rate {
+                Some(_) => MAX_LIMITED_RETRY_AFTER,
+                None => MAX_RETRY_AFTER,
+            };
+            let retry_after = self.retry_after(rate, most);
             if pause.is_zero() {
                 return Err(NotQueued { retry_after });
             }
             return Err(NotQueued { retry_after: pause + PAUSE_SPREAD.mul_f64(spread) });
         }
-        self.queue.insert((waiter.priority, waiter.start_deadline, id), waiter);
+        self.push(id, waiter);
         Ok(())
     }
 
+    /// Queues a request without regard to the capacity.
+    pub fn push(&mut self, id: WaiterId, waiter: Waiter) {
+        self.queue.insert((waiter.priority, waiter.start_deadline, id), waiter);
+    }
+
     /// Retry-After that spreads rejected callers over the time in which the queue empties.
-    fn retry_after(&self, rate: f64) -> Duration {
+    fn retry_after(&self, rate: f64, most: Duration) -> Duration {
         let time_to_empty =
             Duration::from_secs_f64((self.queue.len() as f64 + 1.0) / rate.max(0.1));
-        time_to_empty.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+        time_to_empty.clamp(MIN_RETRY_AFTER, most)
     }
 
     /// The request that starts next.
@@ -127,9 +163,25 @@
         self.queue.first_key_value().map(|(key, _)| key.2)
     }
 
+    /// Waiting requests of this VM and of others in the order in which they start.
+    pub fn order(&self, remote: impl Iterator<Item = RemoteWaiter>) -> Vec<NextWaiter> {
+        let own = self.queue.keys().map(|key| ((key.0, key.1), NextWaiter::Own(key.2)));
+        let remote = remote.map(|waiter| {
+            ((waiter.priority, waiter.start_deadline), NextWaiter::Remote(waiter.vm))
+        });
+        let mut order: Vec<_> = own.chain(remote).collect();
+        order.sort_by_key(|(key, _)| *key);
+        order.into_iter().map(|(_, next)| next).collect()
+    }
+
     /// Waiting requests in the order in which they start.
-    pub fn ids(&self) -> Vec<WaiterId> {
-        self.queue.keys().map(|key| key.2).collect()
+    pub fn ids(&self) -> impl Iterator<Item = WaiterId> + '_ {
+        self.queue.keys().map(|key| key.2)
+    }
+
+    /// Priority and latest start of the waiting requests, in the order in which they start.
+    pub fn waiters(&self) -> impl Iterator<Item = (u32, Uptime)> + '_ {
+        self.queue.keys().map(|key| (key.0, key.1))
     }
 
     /// Removes a request. Returns whether it was queued.
--- a/components/dispatch/tests/placement.rs
+++ b/components/dispatch/tests/placement.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use dispatch::{
-    BackendEntry, BackendKey, Backends, Coverage, Distance, Evidence, Placement, PlacementRequest,
-    PlacementWeights, place,
+    BackendEntry, BackendKey, Backends, Coverage, Distance, Evidence, LimitReport, PaceRight,
+    Placement, PlacementRequest, PlacementWeights, RequestLimit, place,
 };
 use kernel::Uptime;
 
@@ -216,3 +216,72 @@
     }
     assert_eq!(choose(&backends, &request(&[])), Placement::Send(keys[1]));
 }
+
+/// Sets a limit of one request a second, which this VM may spend since a time.
+fn limit_to_one(backends: &mut Backends, key: BackendKey, right: PaceRight, since: Uptime) {
+    let limit = RequestLimit::try_from(1.0).ok();
+    backends.record_limit(since, key, LimitReport { limit, sent_at: since, received_at: since });
+    assert!(backends.set_pace_rights(since, "s", |_| right, || 0.0));
+}
+
+#[test]
+fn limited_server_gets_a_request_for_each_token_only() {
+    let (mut backends, keys) = backends(&["own"]);
+    limit_to_one(&mut backends, keys[0], PaceRight::Owner(1.0), NOW - Duration::from_millis(999));
+    assert_eq!(choose(&backends, &request(&[])), Placement::Wait);
+    let (mut backends, keys) = self::backends(&["own"]);
+    limit_to_one(&mut backends, keys[0], PaceRight::Owner(1.0), NOW - Duration::from_millis(1001));
+    assert_eq!(choose(&backends, &request(&[])), Placement::Send(keys[0]));
+    let pace = backends.get_mut(keys[0]).and_then(|state| state.pace.as_mut()).expect("a pace");
+    pace.take(NOW);
+    assert_eq!(choose(&backends, &request(&[])), Placement::Wait);
+    // Without a permit nothing is sent, however long ago the last request was.
+    let (mut backends, keys) = self::backends(&["own"]);
+    limit_to_one(&mut backends, keys[0], PaceRight::Permit, Duration::ZERO);
+    assert_eq!(choose(&backends, &request(&[])), Placement::Wait);
+}
+
+#[test]
+fn requests_beyond_a_limit_go_to_another_failure_domain() {
+    let (mut backends, keys) = backends(&["own", "near"]);
+    limit_to_one(&mut backends, keys[0], PaceRight::Owner(1.0), NOW);
+    assert_eq!(choose(&backends, &request(&[])), Placement::Send(keys[1]));
+}
+
+/// A limited server that gets nothing cannot say that its limit has ended.
+#[test]
+fn idle_limited_server_gets_the_next_request() {
+    let (mut backends, keys) = backends(&["own", "own"]);
+    let since = NOW - Duration::from_secs(5);
+    limit_to_one(&mut backends, keys[1], PaceRight::Owner(1.0), since);
+    assert_eq!(choose(&backends, &request(&[])), Placement::Send(keys[0]));
+    if let Some(state) = backends.get_mut(keys[1]) {
+        state.last_sent = Some(since);
+    }
+    assert_eq!(choose(&backends, &request(&[])), Placement::Send(keys[1]));
+    // Requests that can be retried are preferred for it.
+    let coverage = Coverage { has_retryable: true, ..LOW_FAILURES };
+    let other = PlacementRequest { coverage, ..request(&[]) };
+    assert_eq!(choose(&backends, &other), Placement::Send(keys[0]));
+    let retryable = PlacementRequest { retryable: true, ..other };
+    assert_eq!(choose(&backends, &retryable), Placement::Send(keys[1]));
+}
+
+/// A server that a permit is given for has a free slot, takes requests and is probably not gray.
+#[test]
+fn permits_are_for_servers_that_can_take_a_request() {
+    let (mut backends, keys) = backends(&["own", "own", "own"]);
+    let since = NOW - Duration::from_secs(5);
+    for key in &keys {
+        limit_to_one(&mut backends, *key, PaceRight::Owner(1.0), since);
+    }
+    (0..4).for_each(|_| backends.observe(NOW, keys[0], Evidence::Failure));
+    if let Some(state) = backends.get_mut(keys[1]) {
+        state.in_flight = 2;
+    }
+    let granted = backends.grant_permit(NOW, "s").and_then(|start| backends.find_start(start));
+    assert_eq!(granted, Some(keys[2]));
+    let granted = backends.grant_permit(NOW, "s").and_then(|start| backends.find_start(start));
+    assert_eq!(granted, Some(keys[0]), "a gray one is better than none");
+    assert_eq!(backends.grant_permit(NOW, "s"), None);
+}
--- a/components/dispatch/tests/wait_queue.rs
+++ b/components/dispatch/tests/wait_queue.rs
@@ -3,11 +3,11 @@
 
 use std::time::Duration;
 
-use dispatch::{QueueCapacity, WaitQueue, Waiter};
+use dispatch::{NextWaiter, QueueCapacity, RemoteWaiter, WaitQueue, Waiter};
 use kernel::Uptime;
 
 const CAPACITY: QueueCapacity =
-    QueueCapacity { slots: 8, expected_s: 0.2, available_at: Uptime::ZERO };
+    QueueCapacity { slots: 8, expected_s: 0.2, available_at: Uptime::ZERO, limited_rate: None };
 
 fn at(millis: u64) -> Uptime {
     Duration::from_millis(millis)
@@ -23,7 +23,15 @@
     for (id, priority, max_wait) in [(1, 2, 900), (2, 0, 1200), (3, 2, 700), (4, 0, 1000)] {
         assert!(queue.enqueue(at(0), id, waiter(priority, 0, max_wait), CAPACITY, 0.0).is_ok());
     }
-    assert_eq!(queue.ids(), [4, 2, 3, 1]);
+    assert_eq!(queue.order([].into_iter()), [4, 2, 3, 1].map(NextWaiter::Own));
+    // Requests that wait on other VMs stand among them by the same order.
+    let remote =
+        |priority, deadline, vm| RemoteWaiter { priority, start_deadline: at(deadline), vm };
+    let remote = [remote(2, 800, 7), remote(0, 900, 8), remote(3, 1, 9)];
+    let own = NextWaiter::Own;
+    let other = NextWaiter::Remote;
+    let merged = [other(8), own(4), own(2), own(3), other(7), own(1), other(9)];
+    assert_eq!(queue.order(remote.into_iter()), merged);
     assert!(queue.remove(4, &waiter(0, 0, 1000)));
     assert_eq!(queue.first(), Some(2));
 }
--- a/components/gateway/src/attempt_record.rs
+++ b/components/gateway/src/attempt_record.rs
@@ -104,13 +104,22 @@
         }
         SendOutcome::Unsent(cause) => {
             if let Some(backend) = state.backends.get_mut(key) {
+                backend.refund();
                 backend.reachability.relay = None;
                 backend.record_unreachable(now);
             }
             (None, cause.to_string())
         }
-        SendOutcome::Stale => (None, STALE_CAUSE.to_owned()),
-        SendOutcome::Withheld(cause) => (None, (*cause).to_owned()),
+        SendOutcome::Stale | SendOutcome::Withheld(_) => {
+            if let Some(backend) = state.backends.get_mut(key) {
+                backend.refund();
+            }
+            let cause = match outcome {
+                SendOutcome::Withheld(cause) => cause,
+                _ => STALE_CAUSE,
+            };
+            (None, cause.to_owned())
+        }
         SendOutcome::Broken(cause) => (Some(Evidence::Broken), cause.to_string()),
     };
     if let Some(observed) = observed {
--- a/components/gateway/src/datagram.rs
+++ b/components/gateway/src/datagram.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use kernel::{DomainId, Incarnation};
+use kernel::{DomainId, Incarnation, ServiceId};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -86,6 +86,50 @@
     pub pause_ms: u64,
 }
 
+/// What a backend server has said about its request limit.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitNotice {
+    /// Short hash of the backend server's id.
+    pub backend: u32,
+    /// Its start time in Unix milliseconds.
+    pub started_ms: u64,
+    /// Requests per second from all VMs together; `None` if it no longer names a limit.
+    pub limit: Option<f64>,
+    /// Time since the request was sent whose response said so.
+    pub sent_ms: u64,
+    /// Time since that response was received.
+    pub received_ms: u64,
+}
+
+/// A request that waits on the sender.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WaitingRequest {
+    /// Priority; 0 is the most urgent.
+    pub priority: u32,
+    /// Time for which it is still worth starting.
+    pub left_ms: u32,
+}
+
+/// Asks the owner of request limits for permits to send requests to its backend servers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PermitRequest {
+    /// VM that asks.
+    pub vm: Incarnation,
+    /// Its address for the permits.
+    pub reply: SocketAddr,
+    /// Its uptime, which the permits repeat.
+    pub stamp_ms: u64,
+    /// Service of the requests.
+    pub service: ServiceId,
+    /// Requests that wait for a backend server.
+    pub waiting: Vec<WaitingRequest>,
+    /// Whether a VM that is not the owner has passed it on.
+    pub forwarded: bool,
+}
+
+/// One start of a backend server: the short hash of its id, and its start time in Unix milliseconds.
+pub type StartId = (u32, u64);
+
 /// A message between two VMs. The encoding depends on the order of variants and fields.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -114,6 +158,19 @@
     /// What backend servers have said about themselves, sent inside a failure domain and, if they
     /// are leaving, to the leaders.
     Notices(Vec<BackendNotice>),
+    /// Request limits, sent inside a failure domain and to the leaders.
+    Limits(Vec<LimitNotice>),
+    /// Asks for permits.
+    PermitRequest(PermitRequest),
+    /// A permit for each start of a backend server to send it one request.
+    Permits {
+        /// Stamp of the request for permits.
+        stamp_ms: u64,
+        /// Backend servers, one entry for each permit.
+        starts: Vec<StartId>,
+    },
+    /// Permits that the sender does not use.
+    UnusedPermits(Vec<StartId>),
 }
 
 /// Encodes a datagram.
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -151,6 +151,7 @@
     set_deadline(&mut outgoing.headers, outgoing.deadline.saturating_sub(node.now()));
     let request_id = outgoing.request_id.clone();
     let reused = connection.has_responded();
+    let sent_at = node.now();
     count_send(node, key);
     let response = match connection.send(outgoing.into_request()).await {
         Ok(response) => response,
@@ -165,7 +166,7 @@
         return SendOutcome::Broken(reason.into());
     }
     record_notice(node, key, &head);
-    record_limit(node, key, &head);
+    record_limit(node, key, &head, sent_at);
     let body = match read_response_body(node, incoming).await {
         Ok(body) => body,
         Err(cause) => return SendOutcome::Broken(cause),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod node;
 mod notices;
 mod options;
+mod pacing;
 mod periodic;
 mod pool;
 mod pull;
--- a/components/gateway/src/messaging.rs
+++ b/components/gateway/src/messaging.rs
@@ -11,17 +11,22 @@
 use crate::datagram::{
     BackendEvidence, Datagram, HeartbeatMessage, OrganisationDemand, decode, encode,
 };
+use crate::limits::{receive_limits, send_limits_of_domain};
 use crate::node::Node;
 use crate::notices::merge_notices;
-use crate::state::OtherLeader;
+use crate::pacing::{receive_permits, receive_request, receive_unused};
+use crate::state::{OtherLeader, State};
 use crate::store_cache::record_confirmation;
 
+/// Number of VMs of a failure domain that are told of request limits. Others hear of them when they
+/// serve a caller or become leader.
+const MAX_SUCCESSORS: usize = 32;
 /// Maximum size of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 8192;
 /// Delay after a failed receive, so that a broken socket causes no busy loop.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(5);
 /// Time without a heartbeat after which the leader of another failure domain counts as lost.
-const OTHER_LEADER_TIMEOUT: Duration = Duration::from_millis(4000);
+pub const OTHER_LEADER_TIMEOUT: Duration = Duration::from_millis(4000);
 
 /// Sends a datagram. A lost one is not repeated, since the next one replaces it.
 pub async fn send(node: &Node, to: SocketAddr, datagram: &Datagram) {
@@ -44,15 +49,14 @@
 /// Sends a datagram to the leaders of all failure domains, except to this VM itself.
 pub async fn notify_leaders(node: &Node, datagram: &Datagram) {
     let mut addresses = other_leader_addresses(node);
-    addresses.extend(local_leader(node));
+    addresses.extend(local_leader(node, &node.state()));
     for address in addresses {
         send(node, address, datagram).await;
     }
 }
 
 /// Address of the leader of this failure domain, if it is another VM.
-fn local_leader(node: &Node) -> Option<SocketAddr> {
-    let state = node.state();
+pub fn local_leader(node: &Node, state: &State) -> Option<SocketAddr> {
     let leader = state.election.leader().filter(|leader| *leader != node.incarnation)?;
     state.local_vms.get(&leader).map(|heartbeat| heartbeat.peers)
 }
@@ -91,6 +95,19 @@
     }
 }
 
+/// Sends a datagram to the VMs of this failure domain that may lead it next.
+pub async fn notify_successors(node: &Node, datagram: &Datagram) {
+    let now = node.now();
+    let addresses: Vec<SocketAddr> = {
+        let state = node.state();
+        let vms = state.election.eligible_vms(now).into_iter().take(MAX_SUCCESSORS);
+        vms.filter_map(|vm| state.local_vms.get(&vm)).map(|heartbeat| heartbeat.peers).collect()
+    };
+    for address in addresses {
+        send(node, address, datagram).await;
+    }
+}
+
 /// Sends the leaders the evidence about backend servers since the last message.
 pub async fn send_evidence(node: &Node) {
     let unsent_evidence = std::mem::take(&mut node.state().unsent_evidence);
@@ -223,6 +240,12 @@
             node.heartbeat_wake.notify_one();
         }
         Datagram::Notices(notices) => merge_notices(node, &notices),
+        Datagram::Limits(limits) => receive_limits(node, sender, &limits).await,
+        Datagram::PermitRequest(request) => receive_request(node, request).await,
+        Datagram::Permits { stamp_ms, starts } => {
+            receive_permits(node, sender, stamp_ms, starts).await;
+        }
+        Datagram::UnusedPermits(starts) => receive_unused(node, &starts),
         Datagram::Evidence(evidence) => apply_evidence(node, now, &evidence),
         Datagram::Crash { fingerprint, crashes } => {
             node.state().crash_suspects.merge_count(now, fingerprint, crashes);
@@ -316,15 +339,17 @@
     let is_leader = node.state().election.leader() == Some(node.incarnation);
     if !is_leader && heartbeat.domain != own_domain {
         // The sender does not know the leader of this failure domain, so forward the message.
-        if let Some(leader) = local_leader(node) {
+        let leader = local_leader(node, &node.state());
+        if let Some(leader) = leader {
             send(node, leader, &Datagram::LeaderHeartbeat(heartbeat.clone(), demands.clone()))
                 .await;
         }
     }
-    let peers = heartbeat.peers;
+    let (peers, domain) = (heartbeat.peers, heartbeat.domain.clone());
     let is_new = record_leader(node, now, heartbeat, &demands, &own_domain);
     if is_leader && is_new {
         send(node, peers, &Datagram::LeaderHeartbeat(own_heartbeat(node), Vec::new())).await;
+        send_limits_of_domain(node, peers, &domain).await;
     }
 }
 
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -29,6 +29,11 @@
     end: &'static str,
 }
 
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+struct PermitLabels {
+    result: &'static str,
+}
+
 #[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
 struct StoreLabels {
     table: &'static str,
@@ -50,6 +55,7 @@
     backends: Gauge,
     limited_backends: Gauge,
     limited_sends: Counter,
+    permits: Family<PermitLabels, Counter>,
     leader: Gauge,
     cache_age_ms: Gauge,
 }
@@ -73,6 +79,7 @@
             backends: Gauge::default(),
             limited_backends: Gauge::default(),
             limited_sends: Counter::default(),
+            permits: Family::default(),
             leader: Gauge::default(),
             cache_age_ms: Gauge::default(),
             registry: Registry::default(),
@@ -95,6 +102,8 @@
         registry.register("limited_backends", help, m.limited_backends.clone());
         let help = "Requests sent to backend servers with a request limit";
         registry.register("limited_sends", help, m.limited_sends.clone());
+        let help = "Permits of the owners of request limits by what became of them";
+        registry.register("permits", help, m.permits.clone());
         registry.register("home", "1 on the home of the failure domain", m.leader.clone());
         let help = "Time since the store confirmed what is known";
         registry.register("knowledge_age_milliseconds", help, m.cache_age_ms.clone());
@@ -148,6 +157,18 @@
         self.limited_sends.inc_by(sends.into());
     }
 
+    /// Counts permits that other VMs gave to this one.
+    pub fn record_permits(&self, received: usize, unused: usize) {
+        for (result, count) in [("used", received - unused), ("unused", unused)] {
+            self.permits.get_or_create(&PermitLabels { result }).inc_by(count as u64);
+        }
+    }
+
+    /// Counts a permit that this VM gave to another one.
+    pub fn record_grant(&self) {
+        self.permits.get_or_create(&PermitLabels { result: "granted" }).inc();
+    }
+
     /// Sets the gauges.
     pub fn set_gauges(&self, config_version: u64, backends: usize, is_leader: bool, age: Duration) {
         self.config_version.set(config_version as i64);
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -73,6 +73,8 @@
     pub watch_wake: Notify,
     /// Wakes the task that pulls newer data, after a heartbeat of another VM.
     pub pull_wake: Notify,
+    /// Wakes the task that paces the requests to backend servers with a request limit.
+    pub pace_wake: Notify,
     /// Permits to send much data to another VM.
     pub transfers: Arc<Semaphore>,
     state: Mutex<State>,
@@ -123,6 +125,9 @@
             store_seen: None,
             unsent_evidence: Default::default(),
             unsent_notices: Default::default(),
+            unsent_limits: Default::default(),
+            permit_requests: Default::default(),
+            unsent_permits: Vec::new(),
             limits_logged_at: Uptime::ZERO,
             placement_weights: PlacementWeights::default(),
         };
@@ -146,6 +151,7 @@
             synced: Notify::new(),
             watch_wake: Notify::new(),
             pull_wake: Notify::new(),
+            pace_wake: Notify::new(),
             transfers: Arc::new(Semaphore::new(MAX_TRANSFERS)),
             state: Mutex::new(state),
             started: Instant::now(),
--- a/components/gateway/src/periodic.rs
+++ b/components/gateway/src/periodic.rs
@@ -5,7 +5,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::datagram::Datagram;
-use crate::limits::report_limited;
+use crate::limits::{report_limited, send_limits};
 use crate::messaging::{
     notify_domain, own_heartbeat, send_demand, send_demand_changes, send_evidence,
 };
@@ -104,6 +104,7 @@
             _ = evidence.tick() => {
                 send_evidence(&node).await;
                 send_notices(&node).await;
+                send_limits(&node).await;
             }
             _ = demand.tick() => {
                 send_demand(&node).await;
--- a/components/gateway/src/pull.rs
+++ b/components/gateway/src/pull.rs
@@ -12,6 +12,7 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::io::InspectReader;
 
+use crate::limits::merge_limits;
 use crate::node::Node;
 use crate::notices::merge_notices;
 use crate::store_cache::{
@@ -183,6 +184,7 @@
     }
     // Before the list, so that a backend server that has left is not used in between.
     merge_notices(node, &reply.notices);
+    merge_limits(node, &reply.limits, "sync");
     if let Some(update) = reply.update {
         // Patches do not fit if another configuration was applied meanwhile.
         if node.cache().config_version() == held.config {
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -165,6 +165,7 @@
         return SendOutcome::Unsent("the relay has left".into());
     };
     let task = if outgoing.idempotent { TASK_IDEMPOTENT } else { TASK_NON_IDEMPOTENT };
+    let sent_at = node.now();
     let response = match call_relay(relay, &entry.id, task, outgoing.into_request()).await {
         Ok(response) => response,
         Err(outcome) => return outcome,
@@ -185,7 +186,7 @@
     }
     let head = decode_response_head(parts.status, &parts.headers);
     record_notice(node, key, &head);
-    record_limit(node, key, &head);
+    record_limit(node, key, &head, sent_at);
     SendOutcome::Completed(Box::new(BackendResponse {
         status: parts.status,
         headers: parts.headers,
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -15,7 +15,8 @@
 use crate::running_requests::Stage;
 use crate::signals::{Signals, reload, stop_on_signal};
 use crate::{
-    admission, endpoints, logs, messaging, periodic, pull, registration, relay, store_watch, sync,
+    admission, endpoints, logs, messaging, pacing, periodic, pull, registration, relay,
+    store_watch, sync,
 };
 
 async fn listen(address: SocketAddr, what: &str) -> anyhow::Result<TcpListener> {
@@ -71,6 +72,7 @@
     tokio::spawn(periodic::poll_election(Arc::clone(&node)));
     tokio::spawn(periodic::send_heartbeats(Arc::clone(&node)));
     tokio::spawn(periodic::send_reports(Arc::clone(&node)));
+    tokio::spawn(pacing::pace_requests(Arc::clone(&node)));
     tokio::spawn(store_watch::watch_configuration(Arc::clone(&node)));
     tokio::spawn(store_watch::watch_backends(Arc::clone(&node)));
     tokio::spawn(registration::register(Arc::clone(&node)));
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -2,8 +2,8 @@
 
 use dispatch::{
     BackendEntry, BackendKey, Backends, CrashSuspects, DomainShare, Election, Evidence,
-    OutcomeWindow, PlacementWeights, PullSources, Quota, StartKey, TrafficSplit, WaitQueue, Waiter,
-    WaiterId, WindowedRetryBudget,
+    OutcomeWindow, PermitAddress, PermitRequests, PlacementWeights, PullSources, Quota, StartKey,
+    TrafficSplit, WaitQueue, Waiter, WaiterId, WindowedRetryBudget,
 };
 use kernel::prelude::*;
 use tokio::sync::oneshot;
@@ -89,6 +89,19 @@
     pub outcomes: OutcomeWindow,
     /// When a retryable request was last placed.
     pub last_retryable: Option<Uptime>,
+    /// Requests for permits while requests wait.
+    pub asks: PermitAsks,
+}
+
+/// When this VM has asked for permits for the waiting requests of a service.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PermitAsks {
+    /// When it last asked.
+    pub last: Option<Uptime>,
+    /// How often it has asked in a row.
+    pub round: u32,
+    /// Number of requests that wait for no more than the response of an owner.
+    pub brief_waits: u32,
 }
 
 /// Evidence not yet sent to the leaders: failures, and successes since the last failure.
@@ -139,6 +152,12 @@
     pub unsent_evidence: UnsentEvidence,
     /// Starts of backend servers whose notices were not sent to other VMs yet.
     pub unsent_notices: BTreeSet<StartKey>,
+    /// Starts of backend servers whose request limits were not sent to other VMs yet.
+    pub unsent_limits: BTreeSet<StartKey>,
+    /// Permits that other VMs ask this one for.
+    pub permit_requests: PermitRequests,
+    /// Permits given to other VMs that were not sent yet.
+    pub unsent_permits: Vec<(PermitAddress, StartKey)>,
     /// When the requests to backend servers with a request limit were last logged.
     pub limits_logged_at: Uptime,
     /// Weights of the placement decision.
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -15,7 +15,8 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::timeout;
 
-use crate::datagram::BackendNotice;
+use crate::datagram::{BackendNotice, LimitNotice};
+use crate::limits::active_limits;
 use crate::node::{MAX_TRANSFERS, Node};
 use crate::notices::active_notices;
 use crate::store_cache::StoreCache;
@@ -119,6 +120,9 @@
     /// What backend servers have said about themselves.
     #[serde(default)]
     pub notices: Vec<BackendNotice>,
+    /// Request limits of backend servers; none in older releases.
+    #[serde(default)]
+    pub limits: Vec<LimitNotice>,
 }
 
 /// Entries of backend servers: the complete list, or the changes since the requested version.
@@ -239,6 +243,8 @@
             return SyncReply { busy: true, transfers: self.transfers(), ..SyncReply::default() };
         }
         let notices = active_notices(node);
+        // A VM that has the list is told of changed limits by datagram.
+        let limits = if backends == 0 { active_limits(node) } else { Vec::new() };
         let mut cache = node.cache();
         let update =
             if compressed { cache.configuration.since(version).ok().flatten() } else { None };
@@ -256,6 +262,7 @@
             backends_version: cache.backends_version,
             confirmed_ms: Some(staleness.as_millis() as u64),
             notices,
+            limits,
         }
     }
 }
--- a/components/telemetry/src/catalogue.rs
+++ b/components/telemetry/src/catalogue.rs
@@ -214,12 +214,12 @@
         "Nothing, if it is rare.";
     WATCH_BEGUN = 955, Info, "watch-begun", "This VM begins to read the store itself.",
         "Nothing; `reason` says why.";
-    BACKEND_LIMITED = 956, Warn, "backend-limited", "A backend server names in a response the requests per second that it takes from all VMs together, or another number than before.",
+    BACKEND_LIMITED = 956, Warn, "backend-limited", "A backend server has named in a response the requests per second that it takes from all VMs together, or another number than before; `source` is `response`, or the VM that told this one.",
         "Add backend servers to the service if it lasts.";
     LIMIT_ENDED = 957, Info, "limit-ended", "A backend server no longer names a request limit.",
         "Nothing.";
-    LIMITED_LOAD = 958, Info, "limited-load", "Requests that this VM has sent to a backend server with a request limit, about every 4 s.",
-        "Compare the sum over all VMs with `limit`.";
+    LIMITED_LOAD = 958, Info, "limited-load", "Requests that this VM has sent to a backend server with a request limit and permits for it that it has given to others, about every 4 s; nothing is logged if it did neither and does not own the limit.",
+        "`rate` is what the owner sends and gives leave for; the sum of `sent` over all VMs stays below it.";
     LIMIT_UNREADABLE = 959, Warn, "limit-unreadable", "The request limit that a backend server names is no number of requests per second; what is known of it stays in force.",
         "Correct the backend server.";
 }
