Play request limits in the soak, and check what backend servers get

Cause: the soak's backend servers named no limits, so that it could not find that they were broken.

What a server gets in any 4 s, from 4 s after it first named a limit, is at most one and a half times the sum of its limits, and 5, from all VMs, also from those that are stopped, killed or paused. Not checked: servers whose responses were lost on the way or spoiled, and the 4 s before and after all VMs were killed at once, which then know nothing.

--- a/tools/soak/src/faults.rs
+++ b/tools/soak/src/faults.rs
@@ -76,6 +76,10 @@
     pub states: Vec<VmState>,
     /// Planned work that is due at a time.
     pub planned: Vec<(Instant, PlannedStep)>,
+    /// Whether responses of each backend server were lost or spoiled, by its link or itself.
+    pub disturbed: Vec<bool>,
+    /// When all VMs were killed at once.
+    pub killed_all: Vec<Instant>,
     /// Where kills, pauses and stops are recorded.
     pub observed: SharedObservations,
 }
@@ -282,6 +286,7 @@
                 }
             }
             "kill-all" => {
+                self.killed_all.push(Instant::now());
                 for vm in 0..self.vm_processes.len() {
                     self.kill(vm)?;
                 }
@@ -295,6 +300,7 @@
             }
             "compact" => self.fleet.store.compact(),
             "line" => {
+                self.disturbed[backend] = true;
                 let modes = [
                     LinkMode::Normal,
                     LinkMode::Slow,
@@ -305,6 +311,7 @@
                 self.proxies[backend].set_mode(modes[random.random_range(0..modes.len())]);
             }
             "manner" => {
+                self.disturbed[backend] = true;
                 let modes = [
                     BackendMode::Normal,
                     BackendMode::Failing,
--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod connection;
 mod faults;
+mod limits;
 mod proxy;
 mod request;
 mod response;
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -11,6 +11,7 @@
 use standins::gateway_backend::GatewayBackend;
 
 use crate::faults::{SoakFleet, VmState};
+use crate::limits::LimitPlan;
 use crate::proxy::Proxy;
 use crate::traffic::{Observations, OwnAnswer, SharedObservations, lock, send_requests};
 
@@ -95,6 +96,8 @@
         vm_processes: Vec::new(),
         states: vec![VmState::Running; usize::from(options.vms)],
         planned: Vec::new(),
+        disturbed: vec![false; usize::from(options.backends)],
+        killed_all: Vec::new(),
         observed,
     };
     for vm in 0..options.vms {
@@ -230,7 +233,9 @@
     let mut soak_fleet = start_fleet(&options, SharedObservations::clone(&observed)).await?;
     let mut report = Report::default();
     let planned_only = options.seed.is_multiple_of(2);
-    let end = Instant::now() + options.duration;
+    let start = Instant::now();
+    let end = start + options.duration;
+    let mut limits = LimitPlan::draw(options.seed, options.backends, start, end);
     let vms: Vec<_> = (0..options.vms).map(|vm| soak_fleet.fleet.caller_address(vm)).collect();
     let callers: Vec<_> = (0..CALLERS_PER_VM * u64::from(options.vms))
         .map(|n| {
@@ -246,11 +251,13 @@
         report.faults.push(soak_fleet.inject_random_fault(&mut random, planned_only)?);
         let next = Instant::now() + Duration::from_millis(random.random_range(0..800));
         while Instant::now() < next {
+            limits.advance(&soak_fleet.backends);
             soak_fleet.advance(&mut random)?;
             tokio::time::sleep(STEP).await;
         }
     }
     soak_fleet.clear_faults();
+    soak_fleet.backends.iter().for_each(|backend| backend.set_limits(&[]));
     while !soak_fleet.advance(&mut random)? {
         tokio::time::sleep(STEP).await;
     }
@@ -274,6 +281,9 @@
     tokio::time::sleep(SETTLING_TIME).await;
     check_configuration(&mut soak_fleet.fleet, &vms, &mut report).await?;
     check_guarantees(&soak_fleet, &observed, planned_only, &mut report);
+    let is_disturbed = |backend: usize| soak_fleet.disturbed[backend];
+    let lost = &soak_fleet.killed_all;
+    report.violations.extend(limits.check(&soak_fleet.backends, end, lost, is_disturbed));
     if !report.violations.is_empty() {
         soak_fleet.fleet.keep_logs = true;
         report.logs = Some(soak_fleet.fleet.log_folder().to_owned());
