Say in a refusal what request limits leave, and move placing to its own file

Cause: a refusal for want of room did not say that limits were the reason, and slot.rs held the placing of waiting requests, the permits and the capacity of the queue beside the slots.

Change: the cause of such a refusal names the requests per second that this VM can count on. The capacity of a queue is estimated in dispatch (QueueCapacity), placing.rs places requests, and a queued request carries what it is told if it gets no slot.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 mod permit_requests;
 mod placement;
 mod pull_sources;
+mod queue_capacity;
 mod quota;
 mod request_limit;
 mod retry_budget;
@@ -57,6 +58,7 @@
 pub use pull_sources::{
     Announcement, DataVersions, PullDecision, PullFailure, PullSource, PullSources,
 };
+pub use queue_capacity::{CapacityInput, QueueCapacity};
 pub use quota::{Quota, QuotaDecision};
 pub use request_limit::{InvalidLimit, RequestLimit, StatedLimit};
 pub use retry_budget::WindowedRetryBudget;
@@ -65,4 +67,4 @@
 pub use shutdown::StopSchedule;
 pub use store_watch::{WatchConditions, WatchReason, may_start_serving};
 pub use traffic_split::TrafficSplit;
-pub use wait_queue::{NextWaiter, NotQueued, QueueCapacity, WaitQueue, Waiter, WaiterId};
+pub use wait_queue::{NextWaiter, NotQueued, WaitQueue, Waiter, WaiterId};
--- a/components/dispatch/src/wait_queue.rs
+++ b/components/dispatch/src/wait_queue.rs
@@ -3,7 +3,7 @@
 
 use kernel::{Incarnation, Uptime};
 
-use crate::RemoteWaiter;
+use crate::{QueueCapacity, RemoteWaiter};
 
 /// Id of a waiting request, unique on one VM.
 pub type WaiterId = u64;
@@ -30,28 +30,6 @@
     pub queued_at: Uptime,
 }
 
-/// Capacity that the requests of a queue wait for.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct QueueCapacity {
-    /// Slots of the backend servers.
-    pub slots: u32,
-    /// Expected service time of a request, in seconds.
-    pub expected_s: f64,
-    /// When the first slot can become free: now, or the end of a pause that all have asked for.
-    pub available_at: Uptime,
-    /// Starts per second that request limits allow, of the backend servers that have one and are not
-    /// counted in `slots`; `None` if there is none.
-    pub limited_rate: Option<f64>,
-}
-
-impl QueueCapacity {
-    /// Starts per second that slots and request limits allow together.
-    fn max_rate(&self) -> Option<f64> {
-        let of_slots = f64::from(self.slots) / self.expected_s.max(0.01);
-        self.limited_rate.map(|limited| of_slots + limited)
-    }
-}
-
 /// Next in the order in which requests start.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum NextWaiter {
@@ -111,7 +89,7 @@
         let age = now.saturating_sub(since).as_secs_f64();
         let recent = if age > 0.5 { f64::from(count) / age } else { rate };
         // A service that was idle has no recent starts; half of what its slots allow is assumed.
-        let idle_rate = f64::from(capacity.slots) / capacity.expected_s.max(0.01) * 0.5;
+        let idle_rate = capacity.slot_rate() * 0.5;
         let estimate = recent.max(rate).max(idle_rate + capacity.limited_rate.unwrap_or(0.0));
         // The starts of the last seconds may be those before a limit.
         capacity.max_rate().map_or(estimate, |most| estimate.min(most))
--- a/components/dispatch/tests/wait_queue.rs
+++ b/components/dispatch/tests/wait_queue.rs
@@ -97,3 +97,28 @@
     }
     assert_eq!(returns, [at(800), at(1300), at(1700)]);
 }
+
+/// Guards against requests that wait for slots which a request limit keeps idle.
+#[test]
+fn requests_beyond_a_limit_are_rejected_at_once() {
+    let count = |limited_rate: Option<f64>, slots: u32| {
+        let mut queue = WaitQueue::default();
+        // The starts of the seconds before the limit.
+        (0..200).for_each(|start| queue.record_start(at(start * 10)));
+        let capacity = QueueCapacity { slots, limited_rate, ..CAPACITY };
+        let mut retries = Vec::new();
+        for id in 0..200 {
+            let queued = queue.enqueue(at(2000), id, waiter(1, 2000, 1000), capacity, 0.0);
+            retries.extend(queued.err().map(|rejected| rejected.retry_after));
+        }
+        (queue.len(), retries.into_iter().max().unwrap_or_default())
+    };
+    assert!(count(None, 8).0 >= 90, "{:?}", count(None, 8));
+    // Two requests a second start in the second that they may wait.
+    let (waiting, retry_after) = count(Some(2.0), 0);
+    assert_eq!(waiting, 2);
+    assert!(retry_after >= Duration::from_millis(1500), "{retry_after:?}");
+    // Unlimited servers beside the limited ones count with their slots.
+    assert!((40..=44).contains(&count(Some(2.0), 8).0), "{:?}", count(Some(2.0), 8));
+    assert_eq!(count(Some(0.3), 0).0, 0);
+}
--- a/components/gateway/src/attempts.rs
+++ b/components/gateway/src/attempts.rs
@@ -275,8 +275,11 @@
             let message = format!("service {} has no backend server left to try", req.service);
             Refusal::not_run(RefusalKind::NoBackend, message).retry_after(NOT_RUN_RETRY_AFTER)
         }
-        NoSlot::Rejected { retry_after } => {
-            let message = format!("service {} has no room in time", req.service);
+        NoSlot::Rejected { retry_after, limited_rate } => {
+            let limits = limited_rate.map_or(String::new(), |rate| {
+                format!("; request limits leave this VM about {rate:.1} requests/s")
+            });
+            let message = format!("service {} has no room in time{limits}", req.service);
             Refusal::not_run(RefusalKind::Overloaded, message).retry_after(retry_after)
         }
         NoSlot::Stopping => stopping_refusal(),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod options;
 mod pacing;
 mod periodic;
+mod placing;
 mod pool;
 mod pull;
 mod registration;
--- a/components/gateway/src/pacing.rs
+++ b/components/gateway/src/pacing.rs
@@ -14,7 +14,7 @@
 use crate::limits::{limits_of_domain, update_rights};
 use crate::messaging::{OTHER_LEADER_TIMEOUT, local_leader, send};
 use crate::node::Node;
-use crate::slot::{assign_permit, serve_queue};
+use crate::placing::{assign_permit, serve_queue};
 use crate::state::{PermitAsks, State};
 
 /// Interval of asking for permits while requests wait. The owner forgets what it was asked for soon
--- a/components/gateway/src/periodic.rs
+++ b/components/gateway/src/periodic.rs
@@ -11,8 +11,8 @@
 };
 use crate::node::Node;
 use crate::notices::send_notices;
+use crate::placing::serve_queue;
 use crate::relay::update_relays;
-use crate::slot::serve_queue;
 use crate::store_cache::update_synced;
 
 /// Interval of polling the election and the wait queues.
--- a/components/gateway/src/store_cache.rs
+++ b/components/gateway/src/store_cache.rs
@@ -9,7 +9,7 @@
 use kernel::prelude::*;
 
 use crate::node::Node;
-use crate::slot::serve_queue;
+use crate::placing::serve_queue;
 
 /// A confirmation of data by the store. It may be older than this process, and so than any of its
 /// times.
