Serve requests of other VMs in order where a service has no queue here

Cause: an owner that has had no request of a service served those that wait on other VMs in no order, and looked for a token once more for each of them after there was none.

Change: they are ordered like those beside a queue, and the search ends with the first that finds no token.

--- a/components/gateway/src/placing.rs
+++ b/components/gateway/src/placing.rs
@@ -3,7 +3,7 @@
 
 use dispatch::{
     Availability, BackendKey, BackendState, CapacityInput, Coverage, Distance, NextWaiter,
-    PaceRight, Placement, PlacementRequest, QueueCapacity, StartKey, WaiterId, place,
+    PaceRight, Placement, PlacementRequest, QueueCapacity, StartKey, WaitQueue, WaiterId, place,
 };
 use kernel::prelude::*;
 
@@ -84,14 +84,16 @@
 pub fn serve_queue(node: &Node, state: &mut State, now: Uptime, service: &str) {
     let is_limited = update_rights(node, state, now, service);
     let remote = if is_limited { state.permit_requests.waiting(now, service) } else { Vec::new() };
-    let order = match state.services.get(service) {
-        Some(service) => service.queue.order(remote.into_iter()),
-        None => remote.into_iter().map(|waiter| NextWaiter::Remote(waiter.vm)).collect(),
-    };
-    for next in order {
+    let no_queue = WaitQueue::default();
+    let queue = state.services.get(service).map_or(&no_queue, |service| &service.queue);
+    let mut has_tokens = true;
+    for next in queue.order(remote.into_iter()) {
         match next {
             NextWaiter::Own(id) => serve_waiter(node, state, now, service, id),
-            NextWaiter::Remote(vm) => grant_permit(node, state, now, service, vm),
+            NextWaiter::Remote(vm) if has_tokens => {
+                has_tokens = grant_permit(node, state, now, service, vm);
+            }
+            NextWaiter::Remote(_) => {}
         }
     }
 }
@@ -114,15 +116,23 @@
     queued.wake.send(key).is_ok()
 }
 
-fn grant_permit(node: &Node, state: &mut State, now: Uptime, service: &str, vm: Incarnation) {
-    let Some(start) = state.backends.grant_permit(now, service) else { return };
+/// Gives a VM a permit for its first waiting request. Returns whether there was a token for one.
+fn grant_permit(
+    node: &Node,
+    state: &mut State,
+    now: Uptime,
+    service: &str,
+    vm: Incarnation,
+) -> bool {
+    let Some(start) = state.backends.grant_permit(now, service) else { return false };
     let Some(address) = state.permit_requests.grant(&service.into(), vm) else {
         state.backends.return_permit(start);
-        return;
+        return true;
     };
     state.unsent_permits.push((address, start));
     node.metrics.record_grant();
     node.pace_wake.notify_one();
+    true
 }
 
 /// Gives a permit of another VM to the first waiting request that can use it. Returns whether there
