Send tokens of a rate to VMs that are leaving

What callers saw: rate-exceeded on a stopping VM of papayareeld, far below the rate of their organisation, when the other VMs of its region stop as well.

Cause: such a VM begins to serve requests itself and asks another one for tokens. The grant was dropped, since its address was looked up among the live VMs, to which a leaving one doesn't belong.

Change: messages of the limiter go to every VM that the membership knows.

--- a/components/daemon/src/messaging.rs
+++ b/components/daemon/src/messaging.rs
@@ -65,12 +65,13 @@
 
     /// Executes the actions of the rate limiter.
     pub fn apply_limiter_actions(self: &Arc<Self>, actions: Vec<LimiterAction>) {
-        let view = self.view.load();
         for action in actions {
             match action {
                 LimiterAction::Send { to, message } => {
-                    if let Some(vm) = view.vm(to) {
-                        self.send(vm.peers, vec![Message::Limiter(message)]);
+                    // A VM that is leaving still serves callers, and needs the tokens that it asks for.
+                    let address = self.membership().find(to).map(|vm| vm.peers);
+                    if let Some(address) = address {
+                        self.send(address, vec![Message::Limiter(message)]);
                     }
                 }
                 LimiterAction::Claim { organisation, units } => {
