Show a refusal of a request that has run

A request of a non-idempotent route whose connection breaks in the last 150 ms of its time is answered 503, although the backend server has run it: while the gateway checks whether the server is alive, nothing records that the request was sent.

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Builds what the scripts of the second review start, besides the programs of the deploy file. It
+# needs no network: the libraries are those of the workspace, in the same versions.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+cargo build --release --locked --offline --manifest-path review/stand-2/Cargo.toml \
+  --target-dir target/review-2
--- /dev/null
+++ b/review/stand-2/src/lib.rs
@@ -0,0 +1,32 @@
+//! What the scripts of the second review share: gateway processes started with the command of the
+//! deploy file, a record of what was sent, answered and run, and a link that can be cut.
+
+mod deployment;
+mod link;
+mod record;
+
+pub use deployment::{Deployment, KEY, RouteSpec};
+pub use link::Link;
+pub use record::Record;
+
+/// Exit status of a script whose rule was broken.
+pub const BROKEN: u8 = 1;
+/// Exit status of a script that could not run.
+pub const NOT_RUN: u8 = 2;
+
+/// Whether the script shall cause the disruption: unless `TROUBLE` is `0`.
+pub fn is_disrupted() -> bool {
+    std::env::var_os("TROUBLE").is_none_or(|value| value != "0")
+}
+
+/// Runs a script and turns its result into an exit status: `true` says that the rule was broken.
+pub fn finish(result: anyhow::Result<bool>) -> std::process::ExitCode {
+    match result {
+        Ok(false) => std::process::ExitCode::SUCCESS,
+        Ok(true) => std::process::ExitCode::from(BROKEN),
+        Err(error) => {
+            eprintln!("the case could not run: {error:#}");
+            std::process::ExitCode::from(NOT_RUN)
+        }
+    }
+}
