Show a request that crashes servers in each failure domain

The VMs of a failure domain tell each other which request has crashed servers, but neither all leaders nor the standbys of other failure domains learn it.

--- /dev/null
+++ b/review/stand-2/src/bin/poison_request.rs
@@ -0,0 +1,182 @@
+//! A request that crashes each backend server that runs it comes again and again, each time at
+//! another VM. Checks that it reaches backend servers in no more than three retries, sent later than
+//! the contact time after it has crashed the third one.
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use harness::gateway_request;
+use http::Method;
+use review_stand_2::{
+    Deployment, KEY, POISON_MARK, Record, RouteSpec, Target, finish, is_disrupted,
+};
+use tokio::time::{sleep, sleep_until};
+
+/// Failure domains; two VMs and `SERVERS_EACH` backend servers run in each.
+const DOMAINS: [&str; 4] = ["a1", "a2", "b1", "b2"];
+const VMS_EACH: usize = 2;
+const SERVERS_EACH: usize = 3;
+/// Time of a run.
+const SERVICE_TIME: Duration = Duration::from_millis(400);
+/// Interval at which the request comes again.
+const POISON_INTERVAL: Duration = Duration::from_millis(4500);
+/// Number of times that it comes: twice at each VM.
+const POISON_COUNT: usize = 2 * VMS_EACH * DOMAINS.len();
+/// Interval of the other requests at each failure domain.
+const TRAFFIC_INTERVAL: Duration = Duration::from_millis(150);
+/// Interval at which backend servers write their entries.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1500);
+/// `contact_ms` of the platform.
+const CONTACT_TIME: Duration = Duration::from_secs(4);
+/// Crashes before the contact time begins.
+const FREE_CRASHES: usize = 3;
+/// Retries that may reach backend servers after that.
+const MAX_RETRIES: usize = 3;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    finish(run().await)
+}
+
+/// Writes the entries of the backend servers as they do themselves.
+fn beat(deployment: &Deployment, servers: &[(String, &str, Target)], sequence: u64) {
+    for (id, domain, server) in servers {
+        let start = *server.starts().borrow();
+        // A server that has crashed and is not back writes nothing.
+        if server.crashes().len() as u64 == start {
+            continue;
+        }
+        deployment.register(id, domain, server.address(), 1000 + start, sequence);
+    }
+}
+
+async fn run() -> anyhow::Result<bool> {
+    let mut record = Record::create()?;
+    let root = std::env::current_dir()?;
+    let mut deployment = Deployment::new(Path::new(&root)).await?;
+    deployment.write_config(&[RouteSpec {
+        prefix: "/write/",
+        kind: "unsafe",
+        timeout_ms: 2500,
+        objective_ms: 1500,
+    }]);
+    let mut servers = Vec::new();
+    for number in 0..(SERVERS_EACH * DOMAINS.len()) as u8 {
+        let (id, domain) = (format!("i-{number}"), DOMAINS[number as usize / SERVERS_EACH]);
+        let address = deployment.fleet.bind_backend(number).await?.local_addr()?;
+        let server = Target::start(address, &id, SERVICE_TIME, is_disrupted())?;
+        servers.push((id, domain, server));
+    }
+    beat(&deployment, &servers, 1);
+    let vms: Vec<(u8, &str)> =
+        (0..VMS_EACH * DOMAINS.len()).map(|n| (n as u8 + 1, DOMAINS[n / VMS_EACH])).collect();
+    for (vm, domain) in &vms {
+        deployment.start(*vm, domain)?;
+    }
+    for (vm, domain) in &vms {
+        deployment.fleet.wait_until_ready(*vm, domain).await?;
+    }
+    // All VMs have to be in touch.
+    let ready_at = Instant::now();
+    record.add(format!("{} gateways and {} servers are ready", vms.len(), servers.len()));
+
+    let mut entries = Vec::new();
+    for (n, domain) in DOMAINS.iter().enumerate() {
+        entries.extend(deployment.fleet.resolve(vms[n * VMS_EACH].0, domain).await);
+    }
+    let traffic: Vec<_> = entries
+        .into_iter()
+        .enumerate()
+        .map(|(n, entry)| {
+            tokio::spawn(async move {
+                let mut requests = Vec::new();
+                for number in 0.. {
+                    let id = format!("t-{n}-{number}");
+                    requests.push(tokio::spawn(async move {
+                        let path = format!("/write/{id}");
+                        let answer = gateway_request(entry, Method::POST, &path, &id, KEY).await;
+                        (id, answer.map_or(0, |answer| answer.status.as_u16()))
+                    }));
+                    sleep(TRAFFIC_INTERVAL).await;
+                    if ready_at.elapsed() > CONTACT_TIME + POISON_INTERVAL * POISON_COUNT as u32 {
+                        break;
+                    }
+                }
+                let mut answers = Vec::new();
+                for request in requests {
+                    answers.extend(request.await);
+                }
+                answers
+            })
+        })
+        .collect();
+
+    let mut sequence = 1;
+    let mut poisons = Vec::new();
+    for number in 0..POISON_COUNT {
+        let due = ready_at + CONTACT_TIME + POISON_INTERVAL * number as u32;
+        while Instant::now() + HEARTBEAT_INTERVAL / 3 < due {
+            sleep(HEARTBEAT_INTERVAL / 3).await;
+            sequence += 1;
+            beat(&deployment, &servers, sequence);
+        }
+        sleep_until(due.into()).await;
+        let (vm, domain) = vms[number % vms.len()];
+        let address = deployment.fleet.caller_address(vm);
+        let (id, path) = (format!("p-{number}"), format!("/write/{POISON_MARK}"));
+        poisons.push(tokio::spawn(async move {
+            let answer = gateway_request(address, Method::POST, &path, &id, KEY).await;
+            let answer = match answer {
+                Ok(answer) => answer.status.as_u16().to_string(),
+                Err(error) => format!("{error:#}"),
+            };
+            (id, vm, domain, answer)
+        }));
+    }
+    let mut crashes: Vec<Instant> =
+        servers.iter().flat_map(|(_, _, server)| server.crashes()).collect();
+    crashes.sort();
+    let third = crashes.get(FREE_CRASHES - 1).copied();
+    let mut retries = 0;
+    for poison in poisons {
+        let (id, vm, domain, answer) = poison.await?;
+        let reached: Vec<(&str, Instant)> = servers
+            .iter()
+            .flat_map(|(server, _, target)| {
+                let runs = target.runs().into_iter().filter(|run| run.id == id);
+                runs.map(|run| (&**server, run.at)).collect::<Vec<_>>()
+            })
+            .collect();
+        let late = third.is_some_and(|third| reached.iter().any(|r| r.1 > third + CONTACT_TIME));
+        retries += usize::from(late);
+        let names: Vec<&str> = reached.iter().map(|r| r.0).collect();
+        record.add(format!(
+            "request {id} at vm-{vm} of {domain}: ran on {names:?}{}; answered {answer}",
+            if late { ", a retry that counts" } else { "" },
+        ));
+        anyhow::ensure!(is_disrupted() || answer == "200", "{id} failed without a disruption");
+    }
+    let mut answers = Vec::new();
+    for task in traffic {
+        answers.extend(task.await?);
+    }
+    let runs: Vec<_> = servers.iter().flat_map(|(_, _, server)| server.runs()).collect();
+    let sent = answers.len();
+    let failed = answers.iter().filter(|(_, status)| *status != 200).count();
+    let is_lost = |id: &str| runs.iter().any(|run| run.id == id && !run.ended);
+    let lost = answers.iter().filter(|(id, _)| is_lost(id)).count();
+    record.add(format!("servers crashed {} times", crashes.len()));
+    record.add(format!(
+        "other requests: {sent} sent, {failed} not answered 200, {lost} lost with a server that ran them"
+    ));
+    anyhow::ensure!(is_disrupted() || lost == 0, "requests were lost without a disruption");
+    let broken = retries > MAX_RETRIES;
+    record.add(format!(
+        "{retries} retries reached servers later than {} s after the third crash, {MAX_RETRIES} \
+         may: the rule {}",
+        CONTACT_TIME.as_secs(),
+        if broken { "was broken (BUDGET)" } else { "held" },
+    ));
+    Ok(broken)
+}
--- a/review/stand-2/src/bin/refused_after_run.rs
+++ b/review/stand-2/src/bin/refused_after_run.rs
@@ -50,7 +50,7 @@
         let server = GatewayBackend::serve(listener, &id, SERVICE_TIME)?;
         let free = deployment.fleet.bind_backend(100 + number).await?.local_addr()?;
         let link = Link::open(free, server.address())?;
-        deployment.register(&id, DOMAINS[0], link.address(), 5);
+        deployment.register(&id, DOMAINS[0], link.address(), 5, 1);
         servers.push(server);
         links.push(link);
     }
@@ -61,7 +61,11 @@
         deployment.fleet.wait_until_ready(vm, domain).await?;
     }
     let entry = deployment.fleet.resolve(1, DOMAINS[0]).await.context("no address")?;
-    record.add(format!("{} gateways are ready; callers of {} use {entry}", DOMAINS.len(), DOMAINS[0]));
+    record.add(format!(
+        "{} gateways are ready; callers of {} use {entry}",
+        DOMAINS.len(),
+        DOMAINS[0]
+    ));
     let runs = |id: &str| -> u32 {
         servers.iter().filter_map(|server| server.observed().runs.get(id).copied()).sum()
     };
--- a/review/stand-2/src/deployment.rs
+++ b/review/stand-2/src/deployment.rs
@@ -112,9 +112,9 @@
         self.version
     }
 
-    /// Registers a backend server that is reached at `address`, started at `born`.
-    pub fn register(&self, id: &str, domain: &str, address: SocketAddr, born: u64) {
-        let mut entry = wire::backend_entry(SERVICE, address, domain, "ready", 1);
+    /// Writes the entry of a backend server that is reached at `address`, started at `born`.
+    pub fn register(&self, id: &str, domain: &str, address: SocketAddr, born: u64, sequence: u64) {
+        let mut entry = wire::backend_entry(SERVICE, address, domain, "ready", sequence);
         entry["born"] = json!(born);
         self.fleet.store.put("servers", id, &entry);
     }
--- a/review/stand-2/src/lib.rs
+++ b/review/stand-2/src/lib.rs
@@ -1,13 +1,16 @@
 //! What the scripts of the second review share: gateway processes started with the command of the
-//! deploy file, a record of what was sent, answered and run, and a link that can be cut.
+//! deploy file, a record of what was sent, answered and run, a link that can be cut, and a backend
+//! server that can be crashed.
 
 mod deployment;
 mod link;
 mod record;
+mod target;
 
 pub use deployment::{Deployment, KEY, RouteSpec};
 pub use link::Link;
 pub use record::Record;
+pub use target::{POISON_MARK, Run, Target};
 
 /// Exit status of a script whose rule was broken.
 pub const BROKEN: u8 = 1;
