Give the second review's scripts stand-ins of their own

The scripts shared the harness of the tests, whose libraries the build of the deploy file does not fetch, so that review/build-2.sh could need a network. A small store, backend server and caller take its place, with anyhow, serde_json and tokio alone.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Builds what the scripts of the second review start, besides the programs of the deploy file. It
-# needs no network: the libraries are those of the workspace, in the same versions.
+# needs no network after the build of the deploy file: its libraries are among those of the gateway,
+# in the same versions.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-cargo build --release --locked --offline --manifest-path review/stand-2/Cargo.toml \
+cargo build --release --locked --manifest-path review/stand-2/Cargo.toml \
   --target-dir target/review-2
--- a/review/stand-2/src/bin/poison_request.rs
+++ b/review/stand-2/src/bin/poison_request.rs
@@ -6,10 +6,8 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
-use harness::gateway_request;
-use http::Method;
 use review_stand_2::{
-    Deployment, KEY, POISON_MARK, Record, RouteSpec, Target, finish, is_disrupted,
+    Deployment, POISON_MARK, Record, RouteSpec, Target, finish, is_disrupted, post,
 };
 use tokio::time::{sleep, sleep_until};
 
@@ -64,7 +62,7 @@
     let mut servers = Vec::new();
     for number in 0..(SERVERS_EACH * DOMAINS.len()) as u8 {
         let (id, domain) = (format!("i-{number}"), DOMAINS[number as usize / SERVERS_EACH]);
-        let address = deployment.fleet.bind_backend(number).await?.local_addr()?;
+        let address = deployment.server_address(number)?;
         let server = Target::start(address, &id, SERVICE_TIME, is_disrupted())?;
         servers.push((id, domain, server));
     }
@@ -75,7 +73,7 @@
         deployment.start(*vm, domain)?;
     }
     for (vm, domain) in &vms {
-        deployment.fleet.wait_until_ready(*vm, domain).await?;
+        deployment.wait_until_ready(*vm, domain).await?;
     }
     // All VMs have to be in touch.
     let ready_at = Instant::now();
@@ -83,7 +81,7 @@
 
     let mut entries = Vec::new();
     for (n, domain) in DOMAINS.iter().enumerate() {
-        entries.extend(deployment.fleet.resolve(vms[n * VMS_EACH].0, domain).await);
+        entries.extend(deployment.resolve(vms[n * VMS_EACH].0, domain).await);
     }
     let traffic: Vec<_> = entries
         .into_iter()
@@ -95,8 +93,8 @@
                     let id = format!("t-{n}-{number}");
                     requests.push(tokio::spawn(async move {
                         let path = format!("/write/{id}");
-                        let answer = gateway_request(entry, Method::POST, &path, &id, KEY).await;
-                        (id, answer.map_or(0, |answer| answer.status.as_u16()))
+                        let answer = post(entry, &path, &id).await;
+                        (id, answer.map_or(0, |answer| answer.status()))
                     }));
                     sleep(TRAFFIC_INTERVAL).await;
                     if ready_at.elapsed() > CONTACT_TIME + POISON_INTERVAL * POISON_COUNT as u32 {
@@ -123,13 +121,13 @@
         }
         sleep_until(due.into()).await;
         let (vm, domain) = vms[number % vms.len()];
-        let address = deployment.fleet.caller_address(vm);
+        let address = deployment.caller_address(vm);
         let (id, path) = (format!("p-{number}"), format!("/write/{POISON_MARK}"));
         poisons.push(tokio::spawn(async move {
-            let answer = gateway_request(address, Method::POST, &path, &id, KEY).await;
+            let answer = post(address, &path, &id).await;
             let answer = match answer {
-                Ok(answer) => answer.status.as_u16().to_string(),
-                Err(error) => format!("{error:#}"),
+                Ok(answer) => answer.status().to_string(),
+                Err(error) => error.to_string(),
             };
             (id, vm, domain, answer)
         }));
--- a/review/stand-2/src/bin/refused_after_run.rs
+++ b/review/stand-2/src/bin/refused_after_run.rs
@@ -7,10 +7,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use harness::gateway_request;
-use http::Method;
-use review_stand_2::{Deployment, KEY, Link, Record, RouteSpec, finish, is_disrupted};
-use standins::gateway_backend::GatewayBackend;
+use review_stand_2::{Deployment, Link, Record, RouteSpec, Target, finish, is_disrupted, post};
 use tokio::time::sleep;
 
 /// Failure domains; one VM runs in each.
@@ -46,10 +43,8 @@
     let (mut servers, mut links) = (Vec::new(), Vec::new());
     for number in 0..SERVERS {
         let id = format!("i-{number}");
-        let listener = deployment.fleet.bind_backend(number).await?;
-        let server = GatewayBackend::serve(listener, &id, SERVICE_TIME)?;
-        let free = deployment.fleet.bind_backend(100 + number).await?.local_addr()?;
-        let link = Link::open(free, server.address())?;
+        let server = Target::start(deployment.server_address(number)?, &id, SERVICE_TIME, false)?;
+        let link = Link::open(deployment.server_address(SERVERS + number)?, server.address())?;
         deployment.register(&id, DOMAINS[0], link.address(), 5, 1);
         servers.push(server);
         links.push(link);
@@ -58,17 +53,15 @@
         deployment.start(vm, domain)?;
     }
     for (vm, domain) in (1..).zip(DOMAINS) {
-        deployment.fleet.wait_until_ready(vm, domain).await?;
+        deployment.wait_until_ready(vm, domain).await?;
     }
-    let entry = deployment.fleet.resolve(1, DOMAINS[0]).await.context("no address")?;
+    let entry = deployment.resolve(1, DOMAINS[0]).await.context("no address")?;
     record.add(format!(
         "{} gateways are ready; callers of {} use {entry}",
         DOMAINS.len(),
         DOMAINS[0]
     ));
-    let runs = |id: &str| -> u32 {
-        servers.iter().filter_map(|server| server.observed().runs.get(id).copied()).sum()
-    };
+    let runs = |id: &str| servers.iter().flat_map(Target::runs).filter(|run| run.id == id).count();
 
     let mut broken = false;
     let rounds = 3;
@@ -86,7 +79,7 @@
                 tokio::spawn(async move {
                     let path = format!("/write/{id}");
                     let sent = Instant::now();
-                    let answer = gateway_request(entry, Method::POST, &path, &id, KEY).await;
+                    let answer = post(entry, &path, &id).await;
                     (id, answer, sent.elapsed())
                 })
             })
@@ -96,12 +89,10 @@
             let (id, answer, took) = task.await?;
             let (status, text) = match &answer {
                 Ok(answer) => {
-                    let status = answer.status.as_u16();
-                    let retry = answer.header("retry-after");
-                    let body = String::from_utf8_lossy(&answer.body).into_owned();
-                    (status, format!("{status}, Retry-After {retry:?}, {body}"))
+                    let (status, retry) = (answer.status(), answer.header("retry-after"));
+                    (status, format!("{status}, Retry-After {retry:?}, {}", answer.text()))
                 }
-                Err(error) => (0, format!("no answer: {error:#}")),
+                Err(error) => (0, format!("no answer: {error}")),
             };
             let count = runs(&id);
             record.add(format!(
--- a/review/stand-2/src/lib.rs
+++ b/review/stand-2/src/lib.rs
@@ -3,11 +3,13 @@
 //! server that can be crashed.
 
 mod deployment;
+mod http;
 mod link;
 mod record;
+mod store;
 mod target;
 
-pub use deployment::{Deployment, KEY, RouteSpec};
+pub use deployment::{Deployment, RouteSpec, post};
 pub use link::Link;
 pub use record::Record;
 pub use target::{POISON_MARK, Run, Target};
--- a/review/stand-2/src/target.rs
+++ b/review/stand-2/src/target.rs
@@ -1,15 +1,16 @@
-use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
+use crate::http::read_message;
+
 /// Part of a path that marks a request which crashes the server that runs it.
 pub const POISON_MARK: &str = "poison";
 /// Time between a crash and the end of the connections, in which the listener closes.
@@ -132,20 +133,6 @@
     connections.shutdown().await;
 }
 
-/// Reads the head of a request; `None` at the end of the connection.
-async fn read_head(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<Option<usize>> {
-    loop {
-        if let Some(end) = buffer.windows(4).position(|window| window == b"\r\n\r\n") {
-            return Ok(Some(end + 4));
-        }
-        let mut chunk = [0; 4096];
-        match stream.read(&mut chunk).await? {
-            0 => return Ok(None),
-            count => buffer.extend_from_slice(&chunk[..count]),
-        }
-    }
-}
-
 async fn serve_connection(
     mut stream: TcpStream,
     settings: &Settings,
@@ -154,25 +141,9 @@
 ) -> io::Result<()> {
     let _ = stream.set_nodelay(true);
     let mut buffer = Vec::new();
-    while let Some(end) = read_head(&mut stream, &mut buffer).await? {
-        let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
-        let headers: BTreeMap<String, String> = head
-            .lines()
-            .skip(1)
-            .filter_map(|line| line.split_once(':'))
-            .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
-            .collect();
-        let header = |name: &str| headers.get(name).cloned().unwrap_or_default();
-        let length: usize = header("content-length").parse().unwrap_or(0);
-        while buffer.len() < end + length {
-            let mut chunk = [0; 4096];
-            match stream.read(&mut chunk).await? {
-                0 => return Ok(()),
-                count => buffer.extend_from_slice(&chunk[..count]),
-            }
-        }
-        buffer.drain(..end + length);
-        let (id, expected) = (header("request-id"), header("expected-instance"));
+    while let Some(request) = read_message(&mut stream, &mut buffer).await? {
+        let (id, path) = (request.header("request-id"), request.word(1));
+        let expected = request.header("expected-instance");
         if !expected.is_empty() && *expected != *settings.id {
             let refusal = format!(
                 "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n\
@@ -182,13 +153,12 @@
             stream.write_all(refusal.as_bytes()).await?;
             continue;
         }
-        let run = Run { id: id.clone(), at: Instant::now(), ended: false };
+        let run = Run { id: id.to_owned(), at: Instant::now(), ended: false };
         let index = {
             let mut state = lock(state);
             state.runs.push(run);
             state.runs.len() - 1
         };
-        let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
         if settings.crashes && path.contains(POISON_MARK) {
             lock(state).crashes.push(Instant::now());
             crash.send_replace(true);
