--- a/review/stand-2/src/bin/poison_request.rs
+++ b/review/stand-2/src/bin/poison_request.rs
@@ -15,6 +15,8 @@
 const DOMAINS: [&str; 4] = ["a1", "a2", "b1", "b2"];
 const VMS_EACH: usize = 2;
 const SERVERS_EACH: usize = 3;
+/// Requests that the organisation may send a second; more than it does.
+const RATE: u32 = 200;
 /// Time of a run.
 const SERVICE_TIME: Duration = Duration::from_millis(400);
 /// Interval at which the request comes again.
@@ -53,12 +55,9 @@
     let mut record = Record::create()?;
     let root = std::env::current_dir()?;
     let mut deployment = Deployment::new(Path::new(&root)).await?;
-    deployment.write_config(&[RouteSpec {
-        prefix: "/write/",
-        kind: "unsafe",
-        timeout_ms: 2500,
-        objective_ms: 1500,
-    }]);
+    let route =
+        RouteSpec { prefix: "/write/", kind: "unsafe", timeout_ms: 2500, objective_ms: 1500 };
+    deployment.write_config(&[route], RATE);
     let mut servers = Vec::new();
     for number in 0..(SERVERS_EACH * DOMAINS.len()) as u8 {
         let (id, domain) = (format!("i-{number}"), DOMAINS[number as usize / SERVERS_EACH]);
--- a/review/stand-2/src/bin/refused_after_run.rs
+++ b/review/stand-2/src/bin/refused_after_run.rs
@@ -18,6 +18,8 @@
 const CUT_SERVERS: usize = 2;
 /// Length of the cut.
 const CUT_TIME: Duration = Duration::from_secs(8);
+/// Requests that the organisation may send a second; more than it does.
+const RATE: u32 = 200;
 /// Time of a run.
 const SERVICE_TIME: Duration = Duration::from_millis(300);
 /// Pause between two rounds of requests.
@@ -34,12 +36,9 @@
     let mut record = Record::create()?;
     let root = std::env::current_dir()?;
     let mut deployment = Deployment::new(Path::new(&root)).await?;
-    deployment.write_config(&[RouteSpec {
-        prefix: "/write/",
-        kind: "unsafe",
-        timeout_ms: 2500,
-        objective_ms: 1500,
-    }]);
+    let route =
+        RouteSpec { prefix: "/write/", kind: "unsafe", timeout_ms: 2500, objective_ms: 1500 };
+    deployment.write_config(&[route], RATE);
     let (mut servers, mut links) = (Vec::new(), Vec::new());
     for number in 0..SERVERS {
         let id = format!("i-{number}");
--- a/review/stand-2/src/deployment.rs
+++ b/review/stand-2/src/deployment.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -54,13 +55,14 @@
     folder: PathBuf,
     /// Second and third byte of the loopback addresses.
     net: (u8, u8),
-    processes: Vec<Child>,
+    /// Running gateways, by the number that selects their address.
+    processes: BTreeMap<u8, Child>,
     version: u64,
 }
 
 impl Drop for Deployment {
     fn drop(&mut self) {
-        for process in &mut self.processes {
+        for process in self.processes.values_mut() {
             // It may have ended already.
             let _ = process.kill();
             let _ = process.wait();
@@ -104,7 +106,7 @@
         std::fs::create_dir_all(&folder).context("cannot create a folder")?;
         let net = free_net()?;
         let store = Store::serve((ip(net, 1), 0).into()).await?;
-        let (root, processes) = (root.to_owned(), Vec::new());
+        let (root, processes) = (root.to_owned(), BTreeMap::new());
         Ok(Deployment { store, root, folder, net, processes, version: 1 })
     }
 
@@ -167,7 +169,15 @@
             .stderr(log)
             .spawn()
             .context("cannot start a gateway")?;
-        self.processes.push(process);
+        self.processes.insert(vm, process);
+        Ok(())
+    }
+
+    /// Kills a gateway with SIGKILL.
+    pub fn kill(&mut self, vm: u8) -> anyhow::Result<()> {
+        let mut process = self.processes.remove(&vm).context("the gateway does not run")?;
+        process.kill().context("cannot kill a gateway")?;
+        process.wait().context("cannot wait for a gateway")?;
         Ok(())
     }
 
@@ -200,8 +210,9 @@
         body["addresses"][0].as_str()?.parse().ok()
     }
 
-    /// Writes the next version of the configuration as the operator does.
-    pub fn write_config(&mut self, routes: &[RouteSpec]) {
+    /// Writes the next version of the configuration as the operator does. The only organisation may send
+    /// `rate` requests a second, and a burst of as many.
+    pub fn write_config(&mut self, routes: &[RouteSpec], rate: u32) {
         self.version += 3;
         let mut resources: Vec<Value> = routes
             .iter()
@@ -217,7 +228,7 @@
             json!({"resource_type": "services", "metadata": {"name": SERVICE}, "spec": {
                 "health_check_path": "/health", "max_connections": 390}}),
             json!({"resource_type": "tenants", "metadata": {"name": "north"}, "spec": {
-                "api_keys": [KEY], "rate_per_s": 200, "burst": 200}}),
+                "api_keys": [KEY], "rate_per_s": rate, "burst": rate}}),
             json!({"resource_type": "limits", "metadata": {}, "spec": {
                 "max_header_bytes": 16_384, "max_body_bytes": 1_048_576,
                 "header_timeout_ms": 3000, "idle_timeout_ms": 15_000}}),
