--- a/review/9/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-2/release/rate_after_kills
 [ -x "$program" ] || exit 2
-exec timeout --kill-after=5 110 "$program" review/9
+exec timeout --kill-after=5 110 "$program" review/8
