Write the second review's stand-ins with the standard library alone

The lock file of review/stand-2 named libraries of a registry, and none may be added. The scripts give 2 for any end that is no verdict.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-2/release/poison_request
 [ -x "$program" ] || exit 2
-exec timeout --kill-after=5 110 "$program" review/7
+timeout --kill-after=5 110 "$program" review/7
+code=$?
+[ "$code" -le 1 ] || exit 2
+exit "$code"
--- a/review/stand-2/src/bin/poison_request.rs
+++ b/review/stand-2/src/bin/poison_request.rs
@@ -2,14 +2,13 @@
 //! another VM. Checks that it reaches backend servers in no more than three retries, sent later than
 //! the contact time after it has crashed the third one.
 
-use std::path::Path;
 use std::process::ExitCode;
+use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
 use review_stand_2::{
-    Deployment, POISON_MARK, Record, RouteSpec, Target, finish, is_disrupted, post,
+    Deployment, POISON_MARK, Record, Result, Route, Target, finish, is_disrupted, post,
 };
-use tokio::time::{sleep, sleep_until};
 
 /// Failure domains; two VMs and `SERVERS_EACH` backend servers run in each.
 const DOMAINS: [&str; 4] = ["a1", "a2", "b1", "b2"];
@@ -34,34 +33,29 @@
 /// Retries that may reach backend servers after that.
 const MAX_RETRIES: usize = 3;
 
-#[tokio::main]
-async fn main() -> ExitCode {
-    finish(run().await)
+fn main() -> ExitCode {
+    finish(run())
 }
 
 /// Writes the entries of the backend servers as they do themselves.
 fn beat(deployment: &Deployment, servers: &[(String, &str, Target)], sequence: u64) {
     for (id, domain, server) in servers {
-        let start = *server.starts().borrow();
         // A server that has crashed and is not back writes nothing.
-        if server.crashes().len() as u64 == start {
-            continue;
-        }
+        let Some(start) = server.running_start() else { continue };
         deployment.register(id, domain, server.address(), 1000 + start, sequence);
     }
 }
 
-async fn run() -> anyhow::Result<bool> {
+fn run() -> Result<bool> {
     let mut record = Record::create()?;
-    let root = std::env::current_dir()?;
-    let mut deployment = Deployment::new(Path::new(&root)).await?;
-    let route =
-        RouteSpec { prefix: "/write/", kind: "unsafe", timeout_ms: 2500, objective_ms: 1500 };
-    deployment.write_config(&[route], RATE);
+    let mut deployment = Deployment::new()?;
+    let fleet = deployment.fleet;
+    let route = Route { prefix: "/write/", timeout_ms: 2500, objective_ms: 1500 };
+    deployment.write_config(&route, RATE);
     let mut servers = Vec::new();
     for number in 0..(SERVERS_EACH * DOMAINS.len()) as u8 {
         let (id, domain) = (format!("i-{number}"), DOMAINS[number as usize / SERVERS_EACH]);
-        let address = deployment.server_address(number)?;
+        let address = fleet.server_address(number)?;
         let server = Target::start(address, &id, SERVICE_TIME, is_disrupted())?;
         servers.push((id, domain, server));
     }
@@ -72,7 +66,7 @@
         deployment.start(*vm, domain)?;
     }
     for (vm, domain) in &vms {
-        deployment.wait_until_ready(*vm, domain).await?;
+        fleet.wait_until_ready(*vm, domain)?;
     }
     // All VMs have to be in touch.
     let ready_at = Instant::now();
@@ -80,29 +74,29 @@
 
     let mut entries = Vec::new();
     for (n, domain) in DOMAINS.iter().enumerate() {
-        entries.extend(deployment.resolve(vms[n * VMS_EACH].0, domain).await);
+        entries.extend(fleet.resolve(vms[n * VMS_EACH].0, domain));
     }
     let traffic: Vec<_> = entries
         .into_iter()
         .enumerate()
         .map(|(n, entry)| {
-            tokio::spawn(async move {
+            thread::spawn(move || {
                 let mut requests = Vec::new();
                 for number in 0.. {
                     let id = format!("t-{n}-{number}");
-                    requests.push(tokio::spawn(async move {
+                    requests.push(thread::spawn(move || {
                         let path = format!("/write/{id}");
-                        let answer = post(entry, &path, &id).await;
+                        let answer = post(entry, &path, &id);
                         (id, answer.map_or(0, |answer| answer.status()))
                     }));
-                    sleep(TRAFFIC_INTERVAL).await;
+                    sleep(TRAFFIC_INTERVAL);
                     if ready_at.elapsed() > CONTACT_TIME + POISON_INTERVAL * POISON_COUNT as u32 {
                         break;
                     }
                 }
                 let mut answers = Vec::new();
                 for request in requests {
-                    answers.extend(request.await);
+                    answers.extend(request.join());
                 }
                 answers
             })
@@ -114,16 +108,16 @@
     for number in 0..POISON_COUNT {
         let due = ready_at + CONTACT_TIME + POISON_INTERVAL * number as u32;
         while Instant::now() + HEARTBEAT_INTERVAL / 3 < due {
-            sleep(HEARTBEAT_INTERVAL / 3).await;
+            sleep(HEARTBEAT_INTERVAL / 3);
             sequence += 1;
             beat(&deployment, &servers, sequence);
         }
-        sleep_until(due.into()).await;
+        sleep(due.saturating_duration_since(Instant::now()));
         let (vm, domain) = vms[number % vms.len()];
-        let address = deployment.caller_address(vm);
+        let address = fleet.caller_address(vm);
         let (id, path) = (format!("p-{number}"), format!("/write/{POISON_MARK}"));
-        poisons.push(tokio::spawn(async move {
-            let answer = post(address, &path, &id).await;
+        poisons.push(thread::spawn(move || {
+            let answer = post(address, &path, &id);
             let answer = match answer {
                 Ok(answer) => answer.status().to_string(),
                 Err(error) => error.to_string(),
@@ -137,7 +131,7 @@
     let third = crashes.get(FREE_CRASHES - 1).copied();
     let mut retries = 0;
     for poison in poisons {
-        let (id, vm, domain, answer) = poison.await?;
+        let (id, vm, domain, answer) = poison.join().map_err(|_| "a caller failed")?;
         let reached: Vec<(&str, Instant)> = servers
             .iter()
             .flat_map(|(server, _, target)| {
@@ -152,11 +146,13 @@
             "request {id} at vm-{vm} of {domain}: ran on {names:?}{}; answered {answer}",
             if late { ", a retry that counts" } else { "" },
         ));
-        anyhow::ensure!(is_disrupted() || answer == "200", "{id} failed without a disruption");
+        if !is_disrupted() && answer != "200" {
+            return Err(format!("{id} failed without a disruption").into());
+        }
     }
     let mut answers = Vec::new();
     for task in traffic {
-        answers.extend(task.await?);
+        answers.extend(task.join().map_err(|_| "a caller failed")?);
     }
     let runs: Vec<_> = servers.iter().flat_map(|(_, _, server)| server.runs()).collect();
     let sent = answers.len();
@@ -167,7 +163,9 @@
     record.add(format!(
         "other requests: {sent} sent, {failed} not answered 200, {lost} lost with a server that ran them"
     ));
-    anyhow::ensure!(is_disrupted() || lost == 0, "requests were lost without a disruption");
+    if !is_disrupted() && lost > 0 {
+        return Err("requests were lost without a disruption".into());
+    }
     let broken = retries > MAX_RETRIES;
     record.add(format!(
         "{retries} retries reached servers later than {} s after the third crash, {MAX_RETRIES} \
--- a/review/stand-2/src/bin/rate_after_kills.rs
+++ b/review/stand-2/src/bin/rate_after_kills.rs
@@ -3,14 +3,13 @@
 //! any window than the platform's rule allows.
 
 use std::net::SocketAddr;
-use std::path::Path;
 use std::process::ExitCode;
-use std::sync::Arc;
+use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
-use review_stand_2::{Deployment, Record, RouteSpec, Target, finish, is_disrupted, post};
-use tokio::sync::RwLock;
-use tokio::time::sleep;
+use review_stand_2::{
+    Deployment, Fleet, Record, Result, Route, Target, finish, is_disrupted, post,
+};
 
 /// Failure domains; two VMs and `SERVERS_EACH` backend servers run in each.
 const DOMAINS: [&str; 4] = ["a1", "a2", "b1", "b2"];
@@ -72,15 +71,11 @@
 }
 
 /// Asks the VMs of a failure domain for an address, beginning with a random one.
-async fn resolve(
-    deployment: &Deployment,
-    domain: usize,
-    random: &mut Random,
-) -> Option<SocketAddr> {
+fn resolve(fleet: Fleet, domain: usize, random: &mut Random) -> Option<SocketAddr> {
     let mut vms = vms_of(domain);
     vms.rotate_left(random.below(VMS_EACH as u64) as usize);
     for vm in vms {
-        if let Some(address) = deployment.resolve(vm, DOMAINS[domain]).await {
+        if let Some(address) = fleet.resolve(vm, DOMAINS[domain]) {
             return Some(address);
         }
     }
@@ -89,26 +84,26 @@
 
 /// Sends requests, each on a new connection, to an address that is kept for a time. Asks for another
 /// one when it fails.
-async fn call(deployment: Arc<RwLock<Deployment>>, number: u64, end: Instant) -> Answers {
+fn call(fleet: Fleet, number: u64, end: Instant) -> Answers {
     let mut random = Random::new(number + 1);
     let domain = (number % DOMAINS.len() as u64) as usize;
     let kept = if number.is_multiple_of(3) { LONG_ADDRESS_TIME } else { ADDRESS_TIME };
     let mut entry: Option<(SocketAddr, Instant)> = None;
     let mut answers = Answers::default();
-    sleep(Duration::from_millis(random.below(REQUEST_INTERVAL_MS))).await;
+    sleep(Duration::from_millis(random.below(REQUEST_INTERVAL_MS)));
     for request in 0.. {
         if Instant::now() >= end {
             break;
         }
         if entry.is_none_or(|(_, at)| at.elapsed() > kept) {
-            let found = resolve(&*deployment.read().await, domain, &mut random).await;
+            let found = resolve(fleet, domain, &mut random);
             entry = found.map(|address| (address, Instant::now())).or(entry);
         }
         let Some((address, _)) = entry else {
-            sleep(RESOLVE_PAUSE).await;
+            sleep(RESOLVE_PAUSE);
             continue;
         };
-        match post(address, "/write/x", &format!("{number}-{request}")).await {
+        match post(address, "/write/x", &format!("{number}-{request}")) {
             Ok(answer) if answer.status() == 200 => answers.served += 1,
             Ok(answer) if answer.status() == 429 => answers.refused += 1,
             Ok(_) => answers.other += 1,
@@ -118,39 +113,37 @@
             }
         }
         let pause = REQUEST_INTERVAL_MS / 2 + random.below(REQUEST_INTERVAL_MS);
-        sleep(Duration::from_millis(pause)).await;
+        sleep(Duration::from_millis(pause));
     }
     answers
 }
 
 /// The VM of each failure domain that callers are sent to.
-async fn leaders(deployment: &Deployment) -> Vec<(u8, &'static str)> {
+fn leaders(fleet: Fleet) -> Vec<(u8, &'static str)> {
     let mut found = Vec::new();
     for (domain, name) in DOMAINS.into_iter().enumerate() {
         let vms = vms_of(domain);
-        let address = deployment.resolve(vms[0], name).await;
-        let leader = vms.into_iter().find(|vm| Some(deployment.caller_address(*vm)) == address);
+        let address = fleet.resolve(vms[0], name);
+        let leader = vms.into_iter().find(|vm| Some(fleet.caller_address(*vm)) == address);
         found.extend(leader.map(|vm| (vm, name)));
     }
     found
 }
 
-#[tokio::main]
-async fn main() -> ExitCode {
-    finish(run().await)
+fn main() -> ExitCode {
+    finish(run())
 }
 
-async fn run() -> anyhow::Result<bool> {
+fn run() -> Result<bool> {
     let mut record = Record::create()?;
-    let root = std::env::current_dir()?;
-    let mut deployment = Deployment::new(Path::new(&root)).await?;
-    let route =
-        RouteSpec { prefix: "/write/", kind: "unsafe", timeout_ms: 2500, objective_ms: 1500 };
-    deployment.write_config(&[route], RATE);
+    let mut deployment = Deployment::new()?;
+    let fleet = deployment.fleet;
+    let route = Route { prefix: "/write/", timeout_ms: 2500, objective_ms: 1500 };
+    deployment.write_config(&route, RATE);
     let mut servers = Vec::new();
     for number in 0..(SERVERS_EACH * DOMAINS.len()) as u8 {
         let (id, domain) = (format!("i-{number}"), DOMAINS[number as usize % DOMAINS.len()]);
-        let address = deployment.server_address(number)?;
+        let address = fleet.server_address(number)?;
         let server = Target::start(address, &id, SERVICE_TIME, false)?;
         deployment.register(&id, domain, server.address(), 5, 1);
         servers.push(server);
@@ -162,36 +155,34 @@
     }
     for (domain, name) in DOMAINS.into_iter().enumerate() {
         for vm in vms_of(domain) {
-            deployment.wait_until_ready(vm, name).await?;
+            fleet.wait_until_ready(vm, name)?;
         }
     }
-    sleep(CONTACT_TIME).await;
+    sleep(CONTACT_TIME);
     record.add(format!("{} gateways are ready, callers begin", DOMAINS.len() * VMS_EACH));
 
-    let deployment = Arc::new(RwLock::new(deployment));
     let begin = Instant::now();
     let callers: Vec<_> = (0..CALLERS_EACH * DOMAINS.len() as u64)
         .map(|number| {
             let end = begin + CALM_TIME + WATCH_TIME;
-            tokio::spawn(call(Arc::clone(&deployment), number, end))
+            thread::spawn(move || call(fleet, number, end))
         })
         .collect();
-    sleep(CALM_TIME).await;
+    sleep(CALM_TIME);
     if is_disrupted() {
-        let mut deployment = deployment.write().await;
-        let killed = leaders(&deployment).await;
+        let killed = leaders(fleet);
         for (vm, _) in &killed {
             deployment.kill(*vm)?;
         }
         record.add(format!("killed at once, and started again: {killed:?}"));
-        sleep(RESTART_TIME).await;
+        sleep(RESTART_TIME);
         for (vm, domain) in &killed {
             deployment.start(*vm, domain)?;
         }
     }
     let mut answers = Answers::default();
     for caller in callers {
-        let Answers { served, refused, other } = caller.await?;
+        let Answers { served, refused, other } = caller.join().map_err(|_| "a caller failed")?;
         answers.served += served;
         answers.refused += refused;
         answers.other += other;
@@ -219,6 +210,8 @@
         WINDOW.as_secs(),
         if broken { "was broken (QUOTA)" } else { "held" },
     ));
-    anyhow::ensure!(is_disrupted() || answers.served > 0, "nothing was served");
+    if answers.served == 0 {
+        return Err("nothing was served".into());
+    }
     Ok(broken)
 }
--- a/review/stand-2/src/bin/refused_after_run.rs
+++ b/review/stand-2/src/bin/refused_after_run.rs
@@ -2,13 +2,11 @@
 //! and run, and nothing comes back. Checks that none of these requests is refused with a status that
 //! promises that it has not run.
 
-use std::path::Path;
 use std::process::ExitCode;
+use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
-use anyhow::Context;
-use review_stand_2::{Deployment, Link, Record, RouteSpec, Target, finish, is_disrupted, post};
-use tokio::time::sleep;
+use review_stand_2::{Deployment, Link, Record, Result, Route, Target, finish, is_disrupted, post};
 
 /// Failure domains; one VM runs in each.
 const DOMAINS: [&str; 4] = ["a1", "a2", "b1", "b2"];
@@ -27,23 +25,21 @@
 /// Statuses that promise that a request has not run.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
-#[tokio::main]
-async fn main() -> ExitCode {
-    finish(run().await)
+fn main() -> ExitCode {
+    finish(run())
 }
 
-async fn run() -> anyhow::Result<bool> {
+fn run() -> Result<bool> {
     let mut record = Record::create()?;
-    let root = std::env::current_dir()?;
-    let mut deployment = Deployment::new(Path::new(&root)).await?;
-    let route =
-        RouteSpec { prefix: "/write/", kind: "unsafe", timeout_ms: 2500, objective_ms: 1500 };
-    deployment.write_config(&[route], RATE);
+    let mut deployment = Deployment::new()?;
+    let fleet = deployment.fleet;
+    let route = Route { prefix: "/write/", timeout_ms: 2500, objective_ms: 1500 };
+    deployment.write_config(&route, RATE);
     let (mut servers, mut links) = (Vec::new(), Vec::new());
     for number in 0..SERVERS {
         let id = format!("i-{number}");
-        let server = Target::start(deployment.server_address(number)?, &id, SERVICE_TIME, false)?;
-        let link = Link::open(deployment.server_address(SERVERS + number)?, server.address())?;
+        let server = Target::start(fleet.server_address(number)?, &id, SERVICE_TIME, false)?;
+        let link = Link::open(fleet.server_address(SERVERS + number)?, server.address())?;
         deployment.register(&id, DOMAINS[0], link.address(), 5, 1);
         servers.push(server);
         links.push(link);
@@ -52,9 +48,9 @@
         deployment.start(vm, domain)?;
     }
     for (vm, domain) in (1..).zip(DOMAINS) {
-        deployment.wait_until_ready(vm, domain).await?;
+        fleet.wait_until_ready(vm, domain)?;
     }
-    let entry = deployment.resolve(1, DOMAINS[0]).await.context("no address")?;
+    let entry = fleet.resolve(1, DOMAINS[0]).ok_or("no address")?;
     record.add(format!(
         "{} gateways are ready; callers of {} use {entry}",
         DOMAINS.len(),
@@ -67,7 +63,7 @@
     for round in 0..rounds {
         if round + 1 == rounds && is_disrupted() {
             for link in &links[..CUT_SERVERS] {
-                link.set_cut(true);
+                link.cut()?;
             }
             record.add("the direction from servers i-0 and i-1 to the gateways is cut");
         }
@@ -75,21 +71,21 @@
         let tasks: Vec<_> = (0..SERVERS)
             .map(|number| {
                 let id = format!("{round}-{number}");
-                tokio::spawn(async move {
+                thread::spawn(move || {
                     let path = format!("/write/{id}");
                     let sent = Instant::now();
-                    let answer = post(entry, &path, &id).await;
+                    let answer = post(entry, &path, &id);
                     (id, answer, sent.elapsed())
                 })
             })
             .collect();
         record.add(format!("round {round}: {SERVERS} requests are sent"));
         for task in tasks {
-            let (id, answer, took) = task.await?;
+            let (id, answer, took) = task.join().map_err(|_| "a caller failed")?;
             let (status, text) = match &answer {
                 Ok(answer) => {
                     let (status, retry) = (answer.status(), answer.header("retry-after"));
-                    (status, format!("{status}, Retry-After {retry:?}, {}", answer.text()))
+                    (status, format!("{status}, Retry-After {retry:?}, {}", answer.body))
                 }
                 Err(error) => (0, format!("no answer: {error}")),
             };
@@ -102,17 +98,16 @@
                 broken = true;
                 record.add(format!("REFUSED: request {id} has run and was answered {status}"));
             }
-            anyhow::ensure!(
-                is_disrupted() || status == 200,
-                "request {id} failed without a disruption"
-            );
+            if !is_disrupted() && status != 200 {
+                return Err(format!("request {id} failed without a disruption").into());
+            }
         }
         if round + 1 == rounds && is_disrupted() {
-            sleep(CUT_TIME.saturating_sub(cut_at.elapsed())).await;
-            links.iter().for_each(|link| link.set_cut(false));
+            sleep(CUT_TIME.saturating_sub(cut_at.elapsed()));
+            links.iter().for_each(|link| link.restore());
             record.add("the links are whole again");
         }
-        sleep(ROUND_PAUSE).await;
+        sleep(ROUND_PAUSE);
     }
     record.add(if broken { "the rule was broken" } else { "the rule held" });
     Ok(broken)
--- a/review/stand-2/src/http.rs
+++ b/review/stand-2/src/http.rs
@@ -1,9 +1,10 @@
 use std::collections::BTreeMap;
-use std::io;
-use std::net::SocketAddr;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+/// Time limit for a response.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// An HTTP/1.1 message whose body has a length.
 #[derive(Clone, Debug, Default)]
@@ -12,8 +13,8 @@
     pub start: String,
     /// Headers by name in lower case.
     pub headers: BTreeMap<String, String>,
-    /// Body.
-    pub body: Vec<u8>,
+    /// Body as text.
+    pub body: String,
 }
 
 impl Message {
@@ -31,24 +32,16 @@
     pub fn status(&self) -> u16 {
         self.word(1).parse().unwrap_or(0)
     }
-
-    /// Body as text.
-    pub fn text(&self) -> String {
-        String::from_utf8_lossy(&self.body).into_owned()
-    }
 }
 
 /// Reads the next message of a connection; `None` at its end. `buffer` keeps what follows.
-pub async fn read_message(
-    stream: &mut TcpStream,
-    buffer: &mut Vec<u8>,
-) -> io::Result<Option<Message>> {
+pub fn read_message(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<Option<Message>> {
     let mut chunk = [0; 8192];
     let end = loop {
         if let Some(end) = buffer.windows(4).position(|window| window == b"\r\n\r\n") {
             break end + 4;
         }
-        match stream.read(&mut chunk).await? {
+        match stream.read(&mut chunk)? {
             0 => return Ok(None),
             count => buffer.extend_from_slice(&chunk[..count]),
         }
@@ -62,26 +55,27 @@
         .collect();
     let length = headers.get("content-length").and_then(|value| value.parse().ok()).unwrap_or(0);
     while buffer.len() < end + length {
-        match stream.read(&mut chunk).await? {
+        match stream.read(&mut chunk)? {
             0 => return Ok(None),
             count => buffer.extend_from_slice(&chunk[..count]),
         }
     }
-    let body = buffer[end..end + length].to_vec();
+    let body = String::from_utf8_lossy(&buffer[end..end + length]).into_owned();
     buffer.drain(..end + length);
     Ok(Some(Message { start, headers, body }))
 }
 
 /// Sends a request on a connection of its own and reads the response.
-pub async fn request(
+pub fn request(
     address: SocketAddr,
     method: &str,
     target: &str,
     headers: &[(&str, &str)],
     body: &str,
 ) -> io::Result<Message> {
-    let mut stream = TcpStream::connect(address).await?;
+    let mut stream = TcpStream::connect(address)?;
     stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(RESPONSE_TIMEOUT))?;
     let mut text = format!("{method} {target} HTTP/1.1\r\n");
     if !headers.iter().any(|(name, _)| *name == "Host") {
         text += &format!("Host: {address}\r\n");
@@ -90,7 +84,7 @@
         text += &format!("{name}: {value}\r\n");
     }
     text += &format!("Content-Length: {}\r\n\r\n{body}", body.len());
-    stream.write_all(text.as_bytes()).await?;
-    let response = read_message(&mut stream, &mut Vec::new()).await?;
+    stream.write_all(text.as_bytes())?;
+    let response = read_message(&mut stream, &mut Vec::new())?;
     response.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
 }
--- a/review/stand-2/src/lib.rs
+++ b/review/stand-2/src/lib.rs
@@ -9,7 +9,7 @@
 mod store;
 mod target;
 
-pub use deployment::{Deployment, RouteSpec, post};
+pub use deployment::{Deployment, Fleet, Route, post};
 pub use link::Link;
 pub use record::Record;
 pub use target::{POISON_MARK, Run, Target};
@@ -19,18 +19,21 @@
 /// Exit status of a script that could not run.
 pub const NOT_RUN: u8 = 2;
 
+/// Result of what may fail for a reason that only a reader of the record needs.
+pub type Result<T> = std::result::Result<T, Box<dyn std::error::Error + Send + Sync>>;
+
 /// Whether the script shall cause the disruption: unless `TROUBLE` is `0`.
 pub fn is_disrupted() -> bool {
     std::env::var_os("TROUBLE").is_none_or(|value| value != "0")
 }
 
-/// Runs a script and turns its result into an exit status: `true` says that the rule was broken.
-pub fn finish(result: anyhow::Result<bool>) -> std::process::ExitCode {
+/// Turns the result of a script into an exit status: `true` says that the rule was broken.
+pub fn finish(result: Result<bool>) -> std::process::ExitCode {
     match result {
         Ok(false) => std::process::ExitCode::SUCCESS,
         Ok(true) => std::process::ExitCode::from(BROKEN),
         Err(error) => {
-            eprintln!("the case could not run: {error:#}");
+            eprintln!("the case could not run: {error}");
             std::process::ExitCode::from(NOT_RUN)
         }
     }
--- a/review/stand-2/src/record.rs
+++ b/review/stand-2/src/record.rs
@@ -2,7 +2,7 @@
 use std::path::Path;
 use std::time::Instant;
 
-use anyhow::Context;
+use crate::Result;
 
 /// Record of a run, in `record.txt` of the case's folder and on standard output.
 pub struct Record {
@@ -12,10 +12,9 @@
 
 impl Record {
     /// Creates `record.txt` in the folder that the first argument of the program names.
-    pub fn create() -> anyhow::Result<Record> {
-        let folder = std::env::args().nth(1).context("the first argument names no folder")?;
-        let file = std::fs::File::create(Path::new(&folder).join("record.txt"))
-            .context("cannot write record.txt")?;
+    pub fn create() -> Result<Record> {
+        let folder = std::env::args().nth(1).ok_or("the first argument names no folder")?;
+        let file = std::fs::File::create(Path::new(&folder).join("record.txt"))?;
         Ok(Record { file, started: Instant::now() })
     }
 
--- a/review/stand-2/src/store.rs
+++ b/review/stand-2/src/store.rs
@@ -1,19 +1,16 @@
 use std::collections::BTreeMap;
-use std::io;
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
-
-use serde_json::{Value, json};
-use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
-use tokio::time::{Instant, timeout_at};
+use std::io::{self, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
 
 use crate::http::{Message, read_message};
 
 const BASE64_ALPHABET: &[u8; 64] =
     b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+/// Tables that only the operator and the backend servers write.
+const FOREIGN_TABLES: [&str; 2] = ["op", "servers"];
 
 struct Row {
     /// Base64 text; `None` marks a deleted row.
@@ -28,15 +25,17 @@
     version: u64,
 }
 
-/// The platform's store, as far as the gateway uses it: `rows-get`, `rows-feed` and `rows-tx`.
-pub struct Store {
-    address: SocketAddr,
-    tables: Arc<Mutex<Tables>>,
-    changes: watch::Sender<u64>,
+#[derive(Default)]
+struct Shared {
+    tables: Mutex<Tables>,
+    changed: Condvar,
 }
 
-fn lock(tables: &Mutex<Tables>) -> MutexGuard<'_, Tables> {
-    tables.lock().unwrap_or_else(PoisonError::into_inner)
+/// The platform's store, as far as the gateway uses it: `rows-get`, `rows-feed` and `rows-tx`. Texts in
+/// its tables need no escapes in JSON: they are names, addresses and base64.
+pub struct Store {
+    address: SocketAddr,
+    shared: Arc<Shared>,
 }
 
 fn encode_base64(bytes: &[u8]) -> String {
@@ -76,17 +75,37 @@
 
 fn parameter(target: &str, name: &str) -> Option<String> {
     let query = target.split_once('?')?.1;
-    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| decode_percent(value))
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| decode_percent(value))
 }
 
-fn encode_row(table: &str, key: &str, row: &Row) -> Value {
-    let mut encoded = json!({"table": table, "part": "", "key": key, "row_version": row.version});
-    match &row.value {
-        Some(value) => encoded["value"] = json!(value),
-        None => encoded["tombstone"] = json!(true),
-    }
-    encoded
+/// Text of a field in the JSON of one row; empty if it is missing.
+fn text<'a>(object: &'a str, name: &str) -> &'a str {
+    let rest = object.split_once(&format!("\"{name}\":\"")).map_or("", |(_, rest)| rest);
+    rest.split('"').next().unwrap_or_default()
+}
+
+/// The objects of a list in JSON that hold texts only.
+fn objects<'a>(body: &'a str, name: &str) -> Vec<&'a str> {
+    let list = body.split_once(&format!("\"{name}\":[")).map_or("", |(_, rest)| rest);
+    let list = list.split(']').next().unwrap_or_default();
+    list.split('{').skip(1).filter_map(|object| object.split('}').next()).collect()
+}
+
+fn encode_row(table: &str, key: &str, row: &Row) -> String {
+    let content = match &row.value {
+        Some(value) => format!("\"value\":\"{value}\""),
+        None => "\"tombstone\":true".to_owned(),
+    };
+    let version = row.version;
+    format!(
+        "{{\"table\":\"{table}\",\"part\":\"\",\"key\":\"{key}\",\"row_version\":{version},{content}}}"
+    )
+}
+
+fn encode_rows(rows: &[String], version: u64) -> String {
+    let rows = rows.join(",");
+    format!("{{\"rows\":[{rows}],\"more_pages\":false,\"row_version\":{version},\"now_ms\":0}}")
 }
 
 impl Tables {
@@ -97,25 +116,27 @@
     }
 }
 
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Tables> {
+        self.tables.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 impl Store {
     /// Serves a store on an address.
-    pub async fn serve(address: SocketAddr) -> io::Result<Store> {
-        let listener = TcpListener::bind(address).await?;
+    pub fn serve(address: SocketAddr) -> io::Result<Store> {
+        let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
-        let tables: Arc<Mutex<Tables>> = Arc::default();
-        let (changes, _) = watch::channel(0);
-        let (rows, notifier) = (Arc::clone(&tables), changes.clone());
-        tokio::spawn(async move {
-            loop {
-                let Ok((stream, _)) = listener.accept().await else { continue };
-                let (rows, notifier) = (Arc::clone(&rows), notifier.clone());
-                tokio::spawn(async move {
-                    // An error means that the gateway has closed the connection.
-                    let _ = serve_connection(stream, &rows, &notifier).await;
-                });
+        let shared: Arc<Shared> = Arc::default();
+        let rows = Arc::clone(&shared);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let rows = Arc::clone(&rows);
+                // An error means that the gateway has closed the connection.
+                thread::spawn(move || serve_connection(stream, &rows));
             }
         });
-        Ok(Store { address, tables, changes })
+        Ok(Store { address, shared })
     }
 
     /// Its address.
@@ -124,117 +145,87 @@
     }
 
     /// Writes a row as the operator or a backend server does.
-    pub fn put(&self, table: &str, key: &str, value: &Value) {
-        let version = {
-            let mut tables = lock(&self.tables);
-            tables.write(table, key, Some(encode_base64(value.to_string().as_bytes())));
-            tables.version
-        };
-        self.changes.send_replace(version);
+    pub fn put(&self, table: &str, key: &str, value: &str) {
+        self.shared.lock().write(table, key, Some(encode_base64(value.as_bytes())));
+        self.shared.changed.notify_all();
     }
 }
 
-async fn serve_connection(
-    mut stream: TcpStream,
-    tables: &Mutex<Tables>,
-    changes: &watch::Sender<u64>,
-) -> io::Result<()> {
+fn serve_connection(mut stream: TcpStream, shared: &Shared) -> io::Result<()> {
     let mut buffer = Vec::new();
-    while let Some(call) = read_message(&mut stream, &mut buffer).await? {
-        let (status, body) = answer(&call, tables, changes).await;
-        let body = body.to_string();
+    while let Some(call) = read_message(&mut stream, &mut buffer)? {
+        let (status, body) = answer(&call, shared);
         let response = format!(
             "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n\
              {body}",
             body.len()
         );
-        stream.write_all(response.as_bytes()).await?;
+        stream.write_all(response.as_bytes())?;
     }
     Ok(())
 }
 
-async fn answer(
-    call: &Message,
-    tables: &Mutex<Tables>,
-    changes: &watch::Sender<u64>,
-) -> (u16, Value) {
+fn answer(call: &Message, shared: &Shared) -> (u16, String) {
     let target = call.word(1);
     match target.split('?').next().unwrap_or_default() {
-        "/-/rows-get" => read_rows(target, &lock(tables)),
-        "/-/rows-feed" => wait_for_changes(target, tables, changes).await,
-        "/-/rows-tx" => write_rows(call, tables, changes),
-        _ => (404, json!({"error": "no such call"})),
+        "/-/rows-get" => read_rows(target, &shared.lock()),
+        "/-/rows-feed" => wait_for_changes(target, shared),
+        "/-/rows-tx" => write_rows(&call.body, shared),
+        _ => (404, "{}".to_owned()),
     }
 }
 
-fn read_rows(target: &str, tables: &Tables) -> (u16, Value) {
+fn read_rows(target: &str, tables: &Tables) -> (u16, String) {
     let table = parameter(target, "table").unwrap_or_default();
     let from = parameter(target, "from").unwrap_or_default();
     let until = parameter(target, "target");
     let is_in = |key: &str| key >= from.as_str() && until.as_deref().is_none_or(|end| key < end);
-    let rows: Vec<Value> = tables
+    let rows: Vec<String> = tables
         .rows
         .iter()
         .filter(|((t, key), row)| *t == table && is_in(key) && row.value.is_some())
         .map(|((_, key), row)| encode_row(&table, key, row))
         .collect();
-    (200, json!({"rows": rows, "more_pages": false, "row_version": tables.version, "now_ms": 0}))
+    (200, encode_rows(&rows, tables.version))
 }
 
-async fn wait_for_changes(
-    target: &str,
-    tables: &Mutex<Tables>,
-    changes: &watch::Sender<u64>,
-) -> (u16, Value) {
+fn wait_for_changes(target: &str, shared: &Shared) -> (u16, String) {
     let number = |name| parameter(target, name).and_then(|text| text.parse().ok()).unwrap_or(0_u64);
     let table = parameter(target, "table").unwrap_or_default();
     let (after, end) = (number("after"), Instant::now() + Duration::from_millis(number("wait_ms")));
-    let mut changed = changes.subscribe();
+    let mut tables = shared.lock();
     loop {
-        {
-            let tables = lock(tables);
-            let mut rows: Vec<_> = tables
-                .rows
-                .iter()
-                .filter(|((t, _), row)| *t == table && row.version > after)
-                .collect();
-            if !rows.is_empty() || Instant::now() >= end {
-                rows.sort_by_key(|(_, row)| row.version);
-                let rows: Vec<Value> =
-                    rows.into_iter().map(|((_, key), row)| encode_row(&table, key, row)).collect();
-                return (200, json!({"rows": rows, "row_version": tables.version, "now_ms": 0}));
-            }
+        let mut rows: Vec<_> =
+            tables.rows.iter().filter(|((t, _), row)| *t == table && row.version > after).collect();
+        let left = end.saturating_duration_since(Instant::now());
+        if !rows.is_empty() || left.is_zero() {
+            rows.sort_by_key(|(_, row)| row.version);
+            let rows: Vec<String> =
+                rows.into_iter().map(|((_, key), row)| encode_row(&table, key, row)).collect();
+            return (200, encode_rows(&rows, tables.version));
         }
-        // The loop checks for changes and for the end, whichever ended the wait.
-        let _ = timeout_at(end, changed.changed()).await;
+        let woken = shared.changed.wait_timeout(tables, left);
+        tables = woken.unwrap_or_else(PoisonError::into_inner).0;
     }
 }
 
-fn write_rows(
-    call: &Message,
-    tables: &Mutex<Tables>,
-    changes: &watch::Sender<u64>,
-) -> (u16, Value) {
-    let Ok(body) = serde_json::from_slice::<Value>(&call.body) else {
-        return (400, json!({"error": "no JSON"}));
-    };
-    let text = |entry: &Value, name: &str| entry[name].as_str().unwrap_or_default().to_owned();
-    let entries = |name: &str| body[name].as_array().cloned().unwrap_or_default();
-    let (writes, removed) = (entries("writes"), entries("remove"));
-    let is_foreign = |entry: &Value| matches!(entry["table"].as_str(), Some("op" | "servers"));
+fn write_rows(body: &str, shared: &Shared) -> (u16, String) {
+    let (writes, removed) = (objects(body, "writes"), objects(body, "remove"));
+    let is_foreign = |object: &&str| FOREIGN_TABLES.contains(&text(object, "table"));
     if writes.iter().chain(&removed).any(is_foreign) {
-        return (403, json!({"error": "not the fleet's table"}));
+        return (403, "{}".to_owned());
     }
     let version = {
-        let mut tables = lock(tables);
-        for entry in &writes {
-            tables.write(&text(entry, "table"), &text(entry, "key"), Some(text(entry, "value")));
+        let mut tables = shared.lock();
+        for object in writes {
+            let value = text(object, "value").to_owned();
+            tables.write(text(object, "table"), text(object, "key"), Some(value));
         }
-        for entry in &removed {
-            tables.write(&text(entry, "table"), &text(entry, "key"), None);
+        for object in removed {
+            tables.write(text(object, "table"), text(object, "key"), None);
         }
         tables.version
     };
-    changes.send_replace(version);
-    (200, json!({"row_version": version, "now_ms": 0}))
+    shared.changed.notify_all();
+    (200, format!("{{\"row_version\":{version},\"now_ms\":0}}"))
 }
--- a/review/stand-2/src/target.rs
+++ b/review/stand-2/src/target.rs
@@ -1,14 +1,10 @@
-use std::io;
-use std::net::SocketAddr;
+use std::io::{self, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
 use std::time::{Duration, Instant};
 
-use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::watch;
-use tokio::task::JoinSet;
-use tokio::time::sleep;
-
 use crate::http::read_message;
 
 /// Part of a path that marks a request which crashes the server that runs it.
@@ -17,8 +13,8 @@
 const LISTENER_CLOSE_TIME: Duration = Duration::from_millis(20);
 /// Time from a crash to the next start.
 const RESTART_TIME: Duration = Duration::from_secs(3);
-/// Length of the listener's queue.
-const BACKLOG: u32 = 128;
+/// Pause of a thread that finds nothing to do.
+const IDLE_PAUSE: Duration = Duration::from_millis(1);
 
 /// A request that a backend server has begun to run.
 #[derive(Clone, Debug)]
@@ -37,24 +33,35 @@
     crashes: Vec<Instant>,
 }
 
+#[derive(Default)]
+struct Shared {
+    state: Mutex<State>,
+    /// Number of starts.
+    starts: AtomicU64,
+}
+
+/// One start of the server.
+#[derive(Default)]
+struct Start {
+    crashed: AtomicBool,
+    connections: Mutex<Vec<TcpStream>>,
+}
+
+struct Settings {
+    id: String,
+    service_time: Duration,
+    crashes: bool,
+}
+
 /// A backend server that crashes when it begins to run certain requests, and is back some seconds
 /// later under its id.
 pub struct Target {
     address: SocketAddr,
-    state: Arc<Mutex<State>>,
-    /// Number of starts so far.
-    starts: watch::Receiver<u64>,
-}
-
-fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
-    state.lock().unwrap_or_else(PoisonError::into_inner)
+    shared: Arc<Shared>,
 }
 
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Target {
@@ -65,22 +72,21 @@
         service_time: Duration,
         crashes: bool,
     ) -> io::Result<Target> {
-        let listener = listen(address)?;
+        let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
-        let state: Arc<Mutex<State>> = Arc::default();
-        let (starts, watch) = watch::channel(1);
-        let settings = Settings { id: id.into(), service_time, crashes };
-        let shared = Arc::clone(&state);
-        tokio::spawn(async move {
-            let mut next = Some(listener);
-            loop {
-                let Some(listener) = next.take().or_else(|| listen(address).ok()) else { return };
-                serve_until_crash(listener, &settings, &shared).await;
-                sleep(RESTART_TIME).await;
-                starts.send_modify(|count| *count += 1);
+        let shared: Arc<Shared> = Arc::default();
+        let settings = Arc::new(Settings { id: id.to_owned(), service_time, crashes });
+        let state = Arc::clone(&shared);
+        thread::spawn(move || {
+            let mut next = Ok(listener);
+            while let Ok(listener) = next {
+                state.starts.fetch_add(1, Ordering::SeqCst);
+                serve_until_crash(listener, &settings, &state);
+                thread::sleep(RESTART_TIME);
+                next = TcpListener::bind(address);
             }
         });
-        Ok(Target { address, state, starts: watch })
+        Ok(Target { address, shared })
     }
 
     /// Its address.
@@ -88,84 +94,88 @@
         self.address
     }
 
-    /// Follows the number of its starts.
-    pub fn starts(&self) -> watch::Receiver<u64> {
-        self.starts.clone()
+    /// Number of its starts; `None` while it is down.
+    pub fn running_start(&self) -> Option<u64> {
+        let starts = self.shared.starts.load(Ordering::SeqCst);
+        (lock(&self.shared.state).crashes.len() as u64 != starts).then_some(starts)
     }
 
     /// Requests that it has begun to run.
     pub fn runs(&self) -> Vec<Run> {
-        lock(&self.state).runs.clone()
+        lock(&self.shared.state).runs.clone()
     }
 
     /// When it crashed.
     pub fn crashes(&self) -> Vec<Instant> {
-        lock(&self.state).crashes.clone()
+        lock(&self.shared.state).crashes.clone()
     }
 }
 
-#[derive(Clone)]
-struct Settings {
-    id: Arc<str>,
-    service_time: Duration,
-    crashes: bool,
-}
-
-async fn serve_until_crash(listener: TcpListener, settings: &Settings, state: &Arc<Mutex<State>>) {
-    let (crash, mut crashed) = watch::channel(false);
-    let mut connections = JoinSet::new();
-    loop {
-        tokio::select! {
-            accepted = listener.accept() => if let Ok((stream, _)) = accepted {
-                let (settings, state) = (settings.clone(), Arc::clone(state));
-                let crash = crash.clone();
-                connections.spawn(async move {
-                    // An error means that the other side has closed the connection.
-                    let _ = serve_connection(stream, &settings, &state, &crash).await;
-                });
-            },
-            _ = crashed.changed() => break,
-        }
+fn serve_until_crash(listener: TcpListener, settings: &Arc<Settings>, shared: &Arc<Shared>) {
+    let start: Arc<Start> = Arc::default();
+    // A listener that waited could not be closed.
+    let _ = listener.set_nonblocking(true);
+    while !start.crashed.load(Ordering::SeqCst) {
+        let Ok((stream, _)) = listener.accept() else {
+            thread::sleep(IDLE_PAUSE);
+            continue;
+        };
+        lock(&start.connections).extend(stream.try_clone());
+        let (settings, shared) = (Arc::clone(settings), Arc::clone(shared));
+        let start = Arc::clone(&start);
+        // An error means that the other side has closed the connection.
+        thread::spawn(move || serve_connection(stream, &settings, &shared, &start));
     }
     drop(listener);
-    sleep(LISTENER_CLOSE_TIME).await;
-    // Ends all connections, with whatever runs on them.
-    connections.shutdown().await;
+    thread::sleep(LISTENER_CLOSE_TIME);
+    for connection in lock(&start.connections).drain(..) {
+        // It may be closed already.
+        let _ = connection.shutdown(Shutdown::Both);
+    }
 }
 
-async fn serve_connection(
+fn serve_connection(
     mut stream: TcpStream,
     settings: &Settings,
-    state: &Mutex<State>,
-    crash: &watch::Sender<bool>,
+    shared: &Shared,
+    start: &Start,
 ) -> io::Result<()> {
-    let _ = stream.set_nodelay(true);
+    stream.set_nodelay(true)?;
     let mut buffer = Vec::new();
-    while let Some(request) = read_message(&mut stream, &mut buffer).await? {
+    while let Some(request) = read_message(&mut stream, &mut buffer)? {
         let (id, path) = (request.header("request-id"), request.word(1));
         let expected = request.header("expected-instance");
-        if !expected.is_empty() && *expected != *settings.id {
+        if !expected.is_empty() && expected != settings.id {
             let refusal = format!(
                 "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n\
                  Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
                 settings.id
             );
-            stream.write_all(refusal.as_bytes()).await?;
+            stream.write_all(refusal.as_bytes())?;
             continue;
         }
-        let run = Run { id: id.to_owned(), at: Instant::now(), ended: false };
         let index = {
-            let mut state = lock(state);
+            let mut state = lock(&shared.state);
+            if start.crashed.load(Ordering::SeqCst) {
+                return Ok(());
+            }
+            let run = Run { id: id.to_owned(), at: Instant::now(), ended: false };
             state.runs.push(run);
+            if settings.crashes && path.contains(POISON_MARK) {
+                state.crashes.push(Instant::now());
+                start.crashed.store(true, Ordering::SeqCst);
+                return Ok(());
+            }
             state.runs.len() - 1
         };
-        if settings.crashes && path.contains(POISON_MARK) {
-            lock(state).crashes.push(Instant::now());
-            crash.send_replace(true);
-            std::future::pending::<()>().await;
+        thread::sleep(settings.service_time);
+        {
+            let mut state = lock(&shared.state);
+            if start.crashed.load(Ordering::SeqCst) {
+                return Ok(());
+            }
+            state.runs[index].ended = true;
         }
-        sleep(settings.service_time).await;
-        lock(state).runs[index].ended = true;
         let response = format!(
             "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: {}.{}\r\n\
              Content-Length: {}\r\n\r\n{path}",
@@ -173,7 +183,7 @@
             path.len(),
             path.len()
         );
-        stream.write_all(response.as_bytes()).await?;
+        stream.write_all(response.as_bytes())?;
     }
     Ok(())
 }
